--- /dev/null
+++ b/internal/cli/node.go
@@ -0,0 +1,70 @@
+package cli
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/bronzereach/bronzereach/internal/node"
+)
+
+// runNode runs one node until it fails or is told to end.
+func runNode(arguments []string, streams Streams) (int, error) {
+	flags, err := parseNode(arguments, streams.Err)
+	if err != nil {
+		return exitUsage, err
+	}
+	options, err := node.ReadOptions(flags.settings)
+	if err != nil {
+		return exitUsage, errors.WithMessage(errUsage, err.Error())
+	}
+	log := newLog(streams.Err)
+	n, err := node.New(options, log)
+	if err != nil {
+		return exitFailed, err
+	}
+	log.Info("nodeStarted", "vm", options.VM, "callerAddress", n.CallerAddress(), "peerAddress", n.PeerAddress())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
+	defer signal.Stop(signals)
+	l := &leaver{node: n, log: log, signals: signals}
+	go l.loop()
+	if err := n.Run(context.Background()); err != nil {
+		return exitFailed, err
+	}
+	log.Info("nodeEnded", "vm", options.VM, "cut", l.cut)
+	if l.cut > 0 {
+		return exitFailed, nil
+	}
+	return exitDone, nil
+}
+
+// leaver ends a node on signals: in peace on the first, at once on the second.
+type leaver struct {
+	node    *node.Node
+	log     logr.Logger
+	signals <-chan os.Signal
+	// cut is the number of requests that a second signal cut off.
+	cut int64
+}
+
+func (l *leaver) loop() {
+	<-l.signals
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go l.run(cancel)
+	if err := l.node.Leave(ctx); err != nil {
+		l.cut = l.node.Stop()
+		l.log.Info("nodeStopped", "cut", l.cut)
+	}
+}
+
+// run waits for the second signal.
+func (l *leaver) run(cancel context.CancelFunc) {
+	<-l.signals
+	cancel()
+}
--- /dev/null
+++ b/internal/entry/http.go
@@ -0,0 +1,168 @@
+package entry
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"sort"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bronzereach/bronzereach/pkg/answer"
+	"github.com/bronzereach/bronzereach/pkg/member"
+	"github.com/bronzereach/bronzereach/pkg/query"
+)
+
+// Paths that callers use.
+const (
+	QueryPath     = "/v1/query"
+	AddressesPath = "/v1/addresses"
+	TicketsPath   = "/v1/tickets"
+)
+
+// Limits of what callers may ask for.
+const (
+	// AddressLife is how long a caller may keep a list of addresses.
+	AddressLife = 10 * time.Second
+	// maximumAddresses is the length of a list of addresses.
+	maximumAddresses = 9
+	// maximumTickets is the most tickets of one call.
+	maximumTickets = 100
+)
+
+// Addresses is the list of nodes that a caller may use.
+type Addresses struct {
+	// Addresses are host:port, the best first.
+	Addresses []string `json:"addresses"`
+	// KeepMillis is how long the list may be kept, in milliseconds.
+	KeepMillis int64 `json:"keepMillis"`
+}
+
+// Tickets is a batch of request keys.
+type Tickets struct {
+	Tickets []string `json:"tickets"`
+	// KeepMillis is how long they may be used, in milliseconds.
+	KeepMillis int64 `json:"keepMillis"`
+}
+
+// Register adds the callers' paths.
+func (e *Entry) Register(mux *http.ServeMux) {
+	mux.HandleFunc("POST "+QueryPath, e.serveQuery)
+	mux.HandleFunc("GET "+AddressesPath, e.serveAddresses)
+	mux.HandleFunc("GET "+TicketsPath, e.serveTickets)
+}
+
+func (e *Entry) serveQuery(w http.ResponseWriter, r *http.Request) {
+	request, code, err := readRequest(w, r)
+	if err != nil {
+		view := e.config.View()
+		e.reply(w, e.refuse(view, request, "", time.Now(), refusal{code: code, message: err.Error()}))
+		return
+	}
+	e.reply(w, e.Answer(r.Context(), request))
+}
+
+func readRequest(w http.ResponseWriter, r *http.Request) (request query.Request, code answer.Code, err error) {
+	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, query.MaximumBody))
+	decoder.DisallowUnknownFields()
+	err = decoder.Decode(&request)
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return request, answer.CodeTooLarge, errors.Errorf("the body is larger than %d bytes", query.MaximumBody)
+	case err != nil:
+		return request, answer.CodeInvalid, errors.Errorf("the body is not a request: %v", err)
+	case request.DeadlineMillis < 0:
+		return request, answer.CodeInvalid, errors.New("deadlineMillis is negative")
+	}
+	return request, "", nil
+}
+
+// reply writes the answer whole or not at all: its length goes first.
+func (e *Entry) reply(w http.ResponseWriter, a *answer.Answer) {
+	var body bytes.Buffer
+	encoder := json.NewEncoder(&body)
+	encoder.SetEscapeHTML(false)
+	if err := encoder.Encode(a); err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(body.Len()))
+	if a.Error != nil && a.Error.RetryAfterMillis > 0 {
+		seconds := (a.Error.RetryAfterMillis + 999) / 1000
+		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
+	}
+	w.WriteHeader(statusOf(a))
+	// An error means that the caller has gone.
+	_, _ = body.WriteTo(w)
+}
+
+func (e *Entry) serveAddresses(w http.ResponseWriter, r *http.Request) {
+	view := e.config.View()
+	list := Addresses{
+		Addresses:  rankAddresses(view, r.URL.Query().Get("availabilityZone"), r.RemoteAddr),
+		KeepMillis: AddressLife.Milliseconds(),
+	}
+	writeJSON(w, list)
+}
+
+// rankAddresses lists ready nodes: those of the caller's availability zone
+// first, then those of this node's region, each group in an order of its own
+// for each caller, so that callers spread.
+func rankAddresses(view *View, zone, caller string) []string {
+	type ranked struct {
+		address string
+		order   uint64
+	}
+	if zone == "" {
+		zone = view.Self.AvailabilityZone
+	}
+	var nodes []ranked
+	for _, m := range view.Members {
+		if m.State != member.Ready {
+			continue
+		}
+		order := spreadOrder(caller, m.VM) >> 2
+		if m.AvailabilityZone != zone {
+			order |= 1 << 62
+		}
+		if m.Region != view.Self.Region {
+			order |= 1 << 63
+		}
+		nodes = append(nodes, ranked{address: m.CallerAddress, order: order})
+	}
+	sort.Slice(nodes, func(i, j int) bool { return nodes[i].order < nodes[j].order })
+	addresses := make([]string, 0, maximumAddresses)
+	for _, node := range nodes[:min(len(nodes), maximumAddresses)] {
+		addresses = append(addresses, node.address)
+	}
+	return addresses
+}
+
+func (e *Entry) serveTickets(w http.ResponseWriter, r *http.Request) {
+	count := 1
+	if text := r.URL.Query().Get("count"); text != "" {
+		parsed, err := strconv.Atoi(strings.TrimSpace(text))
+		if err != nil || parsed < 1 || parsed > maximumTickets {
+			http.Error(w, fmt.Sprintf("count must be from 1 to %d", maximumTickets), http.StatusBadRequest)
+			return
+		}
+		count = parsed
+	}
+	writeJSON(w, Tickets{
+		Tickets:    e.issuer.Issue(time.Now(), count),
+		KeepMillis: (9 * time.Minute).Milliseconds(),
+	})
+}
+
+func writeJSON(w http.ResponseWriter, value any) {
+	w.Header().Set("Content-Type", "application/json")
+	// An error means that the caller has gone.
+	_ = json.NewEncoder(w).Encode(value)
+}
--- /dev/null
+++ b/internal/local/local.go
@@ -0,0 +1,312 @@
+// Package local runs a whole small system inside one process, on loopback:
+// stand-ins for the platform and the upstreams, and real nodes.
+package local
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/bronzereach/bronzereach/internal/gate"
+	"github.com/bronzereach/bronzereach/internal/node"
+	"github.com/bronzereach/bronzereach/internal/platform"
+	"github.com/bronzereach/bronzereach/internal/promotion"
+	"github.com/bronzereach/bronzereach/internal/standin"
+	"github.com/bronzereach/bronzereach/internal/util"
+	"github.com/bronzereach/bronzereach/pkg/document"
+	"github.com/bronzereach/bronzereach/pkg/member"
+)
+
+// Environment is the name that local nodes run under.
+const Environment = "local"
+
+// loopback is where everything listens; the system picks the ports.
+const loopback = "127.0.0.1:0"
+
+// readyTimeout bounds the start of a local system.
+const readyTimeout = 10 * time.Second
+
+// Config describes a local system.
+type Config struct {
+	// Document is put in force. Its upstream addresses are replaced by those
+	// of the stand-ins.
+	Document []byte
+	// Contents returns what the upstreams of a service hold as version 1 of
+	// their index.
+	Contents func(service document.Service) standin.Contents
+	// ServiceTime draws how long an upstream takes; nil for no time.
+	ServiceTime func(service document.Service) func(*rand.Rand) time.Duration
+	// Limited makes the stand-ins hold to the document's slots and connections.
+	Limited bool
+	Nodes   int
+	// Zones is the number of availability zones the nodes are spread over.
+	Zones int
+	Mode  gate.Mode
+	Seed  uint64
+	Log   logr.Logger
+}
+
+// System is a running local system.
+type System struct {
+	Platform *standin.Platform
+	// Upstreams holds the stand-ins of each service.
+	Upstreams map[string][]*standin.Upstream
+	Nodes     []*node.Node
+	// PlatformURL is the base address of the platform stand-in.
+	PlatformURL string
+
+	config Config
+	server *http.Server
+	cancel context.CancelFunc
+}
+
+// Start brings a local system up and waits until every node is ready.
+func Start(ctx context.Context, config Config) (s *System, err error) {
+	defer util.Annotate(&err, "local system")
+	ctx, cancel := context.WithCancel(ctx)
+	s = &System{
+		Platform:  standin.NewPlatform(config.Seed),
+		Upstreams: map[string][]*standin.Upstream{},
+		config:    config,
+		cancel:    cancel,
+	}
+	defer func() {
+		if err != nil {
+			s.Stop()
+		}
+	}()
+	parsed, err := document.Parse(config.Document)
+	if err != nil {
+		return s, err
+	}
+	if err := s.startPlatform(); err != nil {
+		return s, err
+	}
+	text, err := s.startUpstreams(parsed)
+	if err != nil {
+		return s, err
+	}
+	if err := s.store(text); err != nil {
+		return s, err
+	}
+	if err := s.startNodes(ctx); err != nil {
+		return s, err
+	}
+	return s, s.awaitReady(ctx)
+}
+
+func (s *System) startPlatform() error {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	s.PlatformURL = "http://" + listener.Addr().String()
+	s.server = &http.Server{Handler: s.Platform}
+	go s.run(listener)
+	return nil
+}
+
+func (s *System) run(listener net.Listener) {
+	// Serve returns an error once the system stops.
+	_ = s.server.Serve(listener)
+}
+
+// startUpstreams starts a stand-in for each upstream and returns the document
+// with their addresses.
+func (s *System) startUpstreams(d *document.Document) (text []byte, err error) {
+	text = d.Text
+	for number, service := range d.Services {
+		for replica, address := range service.Upstreams {
+			upstream, err := s.startUpstream(service, uint64(number*64+replica))
+			if err != nil {
+				return nil, err
+			}
+			s.Upstreams[service.Name] = append(s.Upstreams[service.Name], upstream)
+			old, fresh := fmt.Sprintf("%q", address), fmt.Sprintf("%q", upstream.Address())
+			text = bytes.Replace(text, []byte(old), []byte(fresh), 1)
+		}
+	}
+	return text, nil
+}
+
+func (s *System) startUpstream(service document.Service, number uint64) (*standin.Upstream, error) {
+	config := standin.UpstreamConfig{
+		Address: loopback,
+		Index:   service.Index,
+		Seed:    s.config.Seed*1000 + number,
+	}
+	if s.config.Limited {
+		config.Slots = service.Limits.Slots
+		config.Queue = 2 * service.Limits.Slots
+		config.Connections = service.Limits.Connections
+		config.ConnectionCost = service.Limits.ConnectionCost
+	}
+	if s.config.ServiceTime != nil {
+		config.ServiceTime = s.config.ServiceTime(service)
+	}
+	upstream, err := standin.StartUpstream(config)
+	if err != nil {
+		return nil, err
+	}
+	if s.config.Contents != nil && service.Index != "" {
+		upstream.Hold(1, s.config.Contents(service))
+	}
+	return upstream, nil
+}
+
+func (s *System) store(text []byte) error {
+	record := promotion.Record{
+		Promotion: "first",
+		Digest:    document.Digest(text),
+		Operator:  Environment,
+		Text:      string(text),
+	}
+	value, err := json.Marshal(record)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	s.Platform.Store(promotion.Key(Environment), value)
+	return nil
+}
+
+func (s *System) startNodes(ctx context.Context) error {
+	var vms []platform.VM
+	for i := range s.config.Nodes {
+		options := node.DefaultOptions()
+		options.VM = fmt.Sprintf("vm-%d", i+1)
+		options.AvailabilityZone = fmt.Sprintf("zone-%d", i%max(1, s.config.Zones)+1)
+		options.CallerAddress = loopback
+		options.PeerAddress = loopback
+		options.Platform = s.PlatformURL
+		options.Environment = Environment
+		options.DirectNodes = s.config.Nodes
+		if s.config.Mode != "" {
+			options.Mode = s.config.Mode
+		}
+		n, err := node.New(options, s.config.Log)
+		if err != nil {
+			return err
+		}
+		s.Nodes = append(s.Nodes, n)
+		vms = append(vms, platform.VM{Name: options.VM, AvailabilityZone: options.AvailabilityZone, Address: n.PeerAddress()})
+	}
+	s.Platform.SetVMs(vms)
+	for _, n := range s.Nodes {
+		go s.loop(ctx, n)
+	}
+	return nil
+}
+
+func (s *System) loop(ctx context.Context, n *node.Node) {
+	if err := n.Run(ctx); err != nil {
+		s.config.Log.Error(err, "nodeFailed")
+	}
+}
+
+// awaitReady waits until every node sees all the others ready.
+func (s *System) awaitReady(ctx context.Context) error {
+	deadline := time.Now().Add(readyTimeout)
+	for time.Now().Before(deadline) && ctx.Err() == nil {
+		if s.ready() {
+			return nil
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	return errors.New("the nodes did not become ready in time")
+}
+
+func (s *System) ready() bool {
+	for _, n := range s.Nodes {
+		view := n.View()
+		ready := 0
+		for _, m := range view.Members {
+			if m.State == member.Ready {
+				ready++
+			}
+		}
+		if view.Document == nil || ready < len(s.Nodes) {
+			return false
+		}
+	}
+	return true
+}
+
+// Addresses returns where callers reach the nodes.
+func (s *System) Addresses() []string {
+	addresses := make([]string, len(s.Nodes))
+	for i, n := range s.Nodes {
+		addresses[i] = n.CallerAddress()
+	}
+	return addresses
+}
+
+// Stop ends everything and waits for the nodes.
+func (s *System) Stop() {
+	s.cancel()
+	for _, n := range s.Nodes {
+		select {
+		case <-n.Done():
+		case <-time.After(readyTimeout):
+		}
+	}
+	for _, upstreams := range s.Upstreams {
+		for _, upstream := range upstreams {
+			upstream.Close()
+		}
+	}
+	if s.server != nil {
+		_ = s.server.Close()
+	}
+}
+
+// SearchDocument returns a document with one index of the given shards and
+// replicas and one kind of work, "search".
+func SearchDocument(shards, replicas int) []byte {
+	var text strings.Builder
+	text.WriteString(`name = "local"
+
+[[rank]]
+name = "search"
+
+[[index]]
+name = "lines"
+slots = 16
+connections = 96
+
+[[kind]]
+name = "search"
+rank = "search"
+index = "lines"
+deadline = "60s"
+`)
+	for shard := range shards {
+		fmt.Fprintf(&text, "\n[[service]]\nname = \"lines-%03d\"\nindex = \"lines\"\nupstreams = [", shard+1)
+		for replica := range replicas {
+			fmt.Fprintf(&text, "\"lines-%03d-%d:1\", ", shard+1, replica+1)
+		}
+		text.WriteString("]\n")
+	}
+	return []byte(text.String())
+}
+
+// SearchContents returns the contents of each service of a SearchDocument over
+// the lines.
+func SearchContents(lines [][]byte, shards int) func(document.Service) standin.Contents {
+	contents := standin.Shard(lines, shards)
+	return func(service document.Service) standin.Contents {
+		var shard int
+		if _, err := fmt.Sscanf(service.Name, "lines-%03d", &shard); err != nil || shard > len(contents) {
+			return standin.Contents{}
+		}
+		return contents[shard-1]
+	}
+}
--- /dev/null
+++ b/internal/node/gossip.go
@@ -0,0 +1,327 @@
+package node
+
+import (
+	"context"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/internal/wire"
+	"github.com/bronzereach/bronzereach/pkg/member"
+)
+
+// Limits of gossip.
+const (
+	exchangeTimeout = 400 * time.Millisecond
+	fetchTimeout    = 5 * time.Second
+	// helperCount is the number of members asked to reach one that does not
+	// answer.
+	helperCount = 2
+	// helperTimeout leaves a helper time for an exchange of its own.
+	helperTimeout = 3 * exchangeTimeout
+	// farewells is the number of members told at once that the node leaves.
+	farewells = 6
+	// noticesAtOnce bounds the notices of one exchange.
+	noticesAtOnce = 16
+)
+
+// runGossip exchanges with one member from time to time.
+func (c *control) runGossip(ctx context.Context, now time.Time) {
+	if now.Before(c.nextGossip) {
+		return
+	}
+	c.nextGossip = now.Add(gossipInterval)
+	if partner, ok := c.table.Partner(c.random); ok {
+		c.contact(ctx, partner)
+	}
+}
+
+// contact starts an exchange with a member, unless one is under way.
+func (c *control) contact(ctx context.Context, partner member.Member) {
+	if !c.checking.Add(partner.VM) {
+		return
+	}
+	x := &exchange{
+		control: c,
+		partner: partner,
+		message: c.newExchange(),
+		helpers: c.table.Helpers(c.random, partner.VM, helperCount),
+	}
+	go x.run(ctx)
+}
+
+func (c *control) newExchange() *wire.Exchange {
+	return &wire.Exchange{
+		From:          c.node.options.VM,
+		Incarnation:   c.node.incarnation,
+		Digest:        c.table.Digest(),
+		Members:       toWire(c.table.Updates()),
+		ConfigVersion: c.version.Load(),
+		Notices:       c.notices.Take(noticesAtOnce, len(c.contacts)),
+	}
+}
+
+// exchange is one round of gossip with one member.
+type exchange struct {
+	control *control
+	partner member.Member
+	message *wire.Exchange
+	helpers []member.Member
+}
+
+// run does the round and tells the control thread how it ended.
+func (x *exchange) run(ctx context.Context) {
+	reply, err := x.ask(ctx, x.message)
+	if err != nil {
+		// The link may have gone silent while a new one would work.
+		x.control.node.network.Drop(x.partner.VM)
+		reply, err = x.ask(ctx, x.message)
+	}
+	if err == nil {
+		x.control.post(exchanged{partner: x.partner, message: reply})
+		return
+	}
+	refused := errors.Is(err, syscall.ECONNREFUSED)
+	reached := !refused && x.reachedByOthers(ctx)
+	if ctx.Err() == nil {
+		x.control.post(unreached{vm: x.partner.VM, incarnation: x.partner.Incarnation, byOthers: reached})
+	}
+}
+
+func (x *exchange) ask(ctx context.Context, message *wire.Exchange) (*wire.Exchange, error) {
+	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	defer cancel()
+	call := &wire.Call{Body: &wire.Call_Exchange{Exchange: message}}
+	reply, err := x.control.node.network.Ask(ctx, x.partner.VM, x.partner.PeerAddress, call)
+	if err != nil {
+		return nil, err
+	}
+	if reply.GetExchange() == nil {
+		return nil, errors.New("no exchange in the reply")
+	}
+	return reply.GetExchange(), nil
+}
+
+// reachedByOthers asks helpers to reach the member.
+func (x *exchange) reachedByOthers(ctx context.Context) bool {
+	ctx, cancel := context.WithTimeout(ctx, helperTimeout)
+	defer cancel()
+	for _, helper := range x.helpers {
+		call := &wire.Call{Body: &wire.Call_Probe{Probe: &wire.Probe{Vm: x.partner.VM}}}
+		reply, err := x.control.node.network.Ask(ctx, helper.VM, helper.PeerAddress, call)
+		if err == nil && reply.GetProbeResult().GetReached() {
+			return true
+		}
+	}
+	return false
+}
+
+// exchanged tells that a member answered an exchange.
+type exchanged struct {
+	partner member.Member
+	message *wire.Exchange
+}
+
+func (e exchanged) apply(ctx context.Context, c *control, now time.Time) {
+	delete(c.checking, e.partner.VM)
+	c.take(ctx, now, e.message)
+	if len(e.message.GetBuckets()) == 0 || e.message.GetDigest() == c.table.Digest() {
+		return
+	}
+	c.checking.Add(e.partner.VM)
+	differing := c.table.Differing(e.message.GetBuckets())
+	message := c.newExchange()
+	message.Members = append(message.Members, toWire(c.table.InBuckets(differing))...)
+	message.Wanted = differing
+	x := &exchange{control: c, partner: e.partner, message: message}
+	go x.run(ctx)
+}
+
+// take merges what a member states.
+func (c *control) take(ctx context.Context, now time.Time, message *wire.Exchange) {
+	changed, stale := c.table.Merge(now, fromWire(message.GetMembers()))
+	if stale {
+		// The newer process is the VM now: this one must end.
+		c.table.Restate(now, member.Dead)
+	}
+	c.noteChanges(changed)
+	c.contacts[message.GetFrom()] = now
+	c.trusted = true
+	for _, notice := range message.GetNotices() {
+		c.notice(notice)
+	}
+	if message.GetConfigVersion() > c.version.Load() {
+		c.fetch(ctx, message.GetFrom())
+	}
+}
+
+// notice takes over news that an upstream leaves and passes them on.
+func (c *control) notice(notice *wire.Notice) {
+	if !c.noticed.Add(notice.GetUpstream() + "\x00" + notice.GetIncarnation()) {
+		return
+	}
+	c.notices.Put(notice.GetUpstream(), notice)
+	c.node.gates.Notice(notice.GetUpstream(), notice.GetIncarnation())
+}
+
+// unreached tells that a member did not answer an exchange.
+type unreached struct {
+	vm          string
+	incarnation uint64
+	byOthers    bool
+}
+
+func (e unreached) apply(_ context.Context, c *control, now time.Time) {
+	delete(c.checking, e.vm)
+	m, found := c.table.Get(e.vm)
+	if e.byOthers || !found || m.Incarnation != e.incarnation {
+		return
+	}
+	if c.table.Suspect(now, e.vm) {
+		m, _ = c.table.Get(e.vm)
+		c.noteChanges([]member.Member{m})
+	}
+}
+
+// received is an exchange that another member began.
+type received struct {
+	message *wire.Exchange
+	reply   chan *wire.Exchange
+}
+
+func (e received) apply(ctx context.Context, c *control, now time.Time) {
+	c.take(ctx, now, e.message)
+	reply := c.newExchange()
+	if wanted := e.message.GetWanted(); len(wanted) > 0 {
+		reply.Members = append(reply.Members, toWire(c.table.InBuckets(wanted))...)
+	} else if reply.Digest != e.message.GetDigest() {
+		reply.Buckets = c.table.BucketHashes()
+	}
+	e.reply <- reply
+}
+
+// lost tells the control thread that a member failed under a call.
+func (c *control) lost(vm string) {
+	c.post(failed{vm: vm})
+}
+
+// failed asks for an exchange with a member that failed under a call.
+type failed struct {
+	vm string
+}
+
+func (e failed) apply(ctx context.Context, c *control, _ time.Time) {
+	if m, found := c.table.Get(e.vm); found && m.State != member.Dead {
+		c.contact(ctx, m)
+	}
+}
+
+// fetch asks a member for its configuration.
+func (c *control) fetch(ctx context.Context, vm string) {
+	m, found := c.table.Get(vm)
+	if !found || c.fetching {
+		return
+	}
+	c.fetching = true
+	go c.fetchLoop(ctx, m)
+}
+
+func (c *control) fetchLoop(ctx context.Context, m member.Member) {
+	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	call := &wire.Call{Body: &wire.Call_Fetch{Fetch: &wire.Fetch{}}}
+	reply, err := c.node.network.Ask(ctx, m.VM, m.PeerAddress, call)
+	if err != nil {
+		c.post(fetched{})
+		return
+	}
+	c.post(fetched{version: reply.GetDocument().GetVersion(), value: reply.GetDocument().GetText()})
+}
+
+// fetched is the end of a fetch; version 0 if it failed.
+type fetched struct {
+	version uint64
+	value   []byte
+}
+
+func (e fetched) apply(_ context.Context, c *control, _ time.Time) {
+	c.fetching = false
+	c.adopt(e.version, e.value)
+}
+
+// wanted asks the control thread for the configuration, to send it to a member.
+type wanted struct {
+	reply chan *wire.Document
+}
+
+func (e wanted) apply(_ context.Context, c *control, _ time.Time) {
+	e.reply <- &wire.Document{Version: c.version.Load(), Text: c.value}
+}
+
+// leave makes the node a leaving one.
+func (c *control) leave() {
+	c.post(leaving{})
+}
+
+// leaving is the node's own wish to leave.
+type leaving struct{}
+
+func (leaving) apply(ctx context.Context, c *control, now time.Time) {
+	c.table.Restate(now, member.Leaving)
+	for range farewells {
+		if partner, ok := c.table.Partner(c.random); ok {
+			c.contact(ctx, partner)
+		}
+	}
+}
+
+func toWire(members []member.Member) []*wire.Member {
+	converted := make([]*wire.Member, len(members))
+	for i, m := range members {
+		converted[i] = &wire.Member{
+			Vm:               m.VM,
+			Incarnation:      m.Incarnation,
+			Revision:         m.Revision,
+			State:            uint32(m.State),
+			AvailabilityZone: m.AvailabilityZone,
+			Region:           m.Region,
+			CallerAddress:    m.CallerAddress,
+			PeerAddress:      m.PeerAddress,
+		}
+	}
+	return converted
+}
+
+func fromWire(members []*wire.Member) []member.Member {
+	converted := make([]member.Member, 0, len(members))
+	for _, m := range members {
+		if m.GetVm() == "" || m.GetState() > uint32(member.Dead) {
+			continue
+		}
+		converted = append(converted, member.Member{
+			VM:               m.GetVm(),
+			Incarnation:      m.GetIncarnation(),
+			Revision:         m.GetRevision(),
+			State:            member.State(m.GetState()),
+			AvailabilityZone: m.GetAvailabilityZone(),
+			Region:           m.GetRegion(),
+			CallerAddress:    m.GetCallerAddress(),
+			PeerAddress:      m.GetPeerAddress(),
+		})
+	}
+	return converted
+}
+
+func (c *control) recordStore(lost bool, detail string) {
+	if c.storeLost == lost {
+		return
+	}
+	c.storeLost = lost
+	name := timeline.StoreFound
+	if lost {
+		name = timeline.StoreLost
+	}
+	c.node.recorder.Record(timeline.Event{Name: name, Detail: detail})
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,277 @@
+// Package node wires the parts of one process together.
+package node
+
+// Who sends which event to whom:
+//
+//	callers ──HTTP──▶ entry ──Batch──▶ gates of this node ──HTTP──▶ upstreams
+//	                    │ └──Batch──▶ network ──▶ gates of other nodes
+//	                    │
+//	                  Lost│            ┌──Exchange, Fetch, Probe── network
+//	                    ▼              ▼
+//	platform ─objectSeen─▶ control ──View──▶ entry
+//	         ─vmsSeen────▶    │
+//	timers ──Tick─────────▶   ├──Hold, Yield, Tick, Notice──▶ gates
+//	                          └──Event──▶ timeline (all parts record)
+//
+// One goroutine runs control and owns the members, the configuration and the
+// assignment. Traffic reads the View that it publishes.
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/oklog/run"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bronzereach/bronzereach/internal/claim"
+	"github.com/bronzereach/bronzereach/internal/entry"
+	"github.com/bronzereach/bronzereach/internal/gate"
+	"github.com/bronzereach/bronzereach/internal/keys"
+	"github.com/bronzereach/bronzereach/internal/peer"
+	"github.com/bronzereach/bronzereach/internal/platform"
+	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/internal/timer"
+	"github.com/bronzereach/bronzereach/internal/util"
+	"github.com/bronzereach/bronzereach/pkg/member"
+)
+
+// Limits of the callers' HTTP server.
+const (
+	headerTimeout  = 2 * time.Second
+	bodyTimeout    = 10 * time.Second
+	idleTimeout    = time.Minute
+	maximumHeader  = 16 << 10
+	shutdownPeriod = 2 * time.Second
+)
+
+// Node is one process of the system.
+type Node struct {
+	options     Options
+	incarnation uint64
+	log         logr.Logger
+	recorder    *timeline.Recorder
+	timers      *timer.Service
+	platform    *platform.Client
+	network     *peer.Network
+	gates       *gate.Gates
+	entry       *entry.Entry
+	control     *control
+	registry    *prometheus.Registry
+	keys        *keys.Store
+
+	view         atomic.Pointer[entry.View]
+	callers      net.Listener
+	peers        net.Listener
+	callerServer *http.Server
+	cancel       context.CancelFunc
+	done         chan struct{}
+}
+
+// New listens on the node's addresses and wires its parts. An address with
+// port 0 is replaced by the one the system picks.
+func New(options Options, log logr.Logger) (n *Node, err error) {
+	defer util.Annotate(&err, "node %s", options.VM)
+	n = &Node{
+		options:     options,
+		incarnation: uint64(time.Now().UnixNano()),
+		log:         log,
+		recorder:    timeline.NewRecorder(options.VM, log),
+		timers:      timer.NewService(),
+		platform:    platform.NewClient(platform.Config{URL: options.Platform}),
+		done:        make(chan struct{}),
+	}
+	if err := n.listen(); err != nil {
+		return nil, err
+	}
+	if err := n.loadKeys(); err != nil {
+		return nil, err
+	}
+	n.wire()
+	return n, nil
+}
+
+func (n *Node) listen() (err error) {
+	n.callers, err = net.Listen("tcp", n.options.CallerAddress)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	n.peers, err = net.Listen("tcp", n.options.PeerAddress)
+	if err != nil {
+		_ = n.callers.Close()
+		return errors.WithStack(err)
+	}
+	n.options.CallerAddress = n.callers.Addr().String()
+	n.options.PeerAddress = n.peers.Addr().String()
+	return nil
+}
+
+func (n *Node) loadKeys() (err error) {
+	if n.options.Keys.Certificate == "" {
+		n.log.Info("keysMissing", "vm", n.options.VM, "detail", "callers and peers are served without encryption")
+		return nil
+	}
+	n.keys, err = keys.NewStore(n.options.Keys)
+	return err
+}
+
+// wire makes the parts in the order in which they need each other.
+func (n *Node) wire() {
+	n.view.Store(&entry.View{})
+	var mutual *tls.Config
+	if n.keys != nil {
+		mutual = n.keys.Mutual()
+	}
+	n.network = peer.NewNetwork(peer.Config{
+		VM:          n.options.VM,
+		Incarnation: n.incarnation,
+		Clock:       n.recorder.Clock,
+		Timers:      n.timers,
+		Handler:     n,
+		TLS:         mutual,
+	})
+	n.gates = gate.New(gate.Config{
+		VM:          n.options.VM,
+		Recorder:    n.recorder,
+		Mode:        n.options.Mode,
+		DirectNodes: n.options.DirectNodes,
+		Seed:        n.incarnation,
+	})
+	n.control = newControl(n)
+	n.entry = entry.New(entry.Config{
+		VM:          n.options.VM,
+		Incarnation: n.incarnation,
+		Recorder:    n.recorder,
+		Network:     n.network,
+		Gates:       n.gates,
+		Claims:      claim.NewClaims(n.platform, n.options.VM, n.incarnation),
+		View:        n.view.Load,
+		Serve:       n.serveBatch,
+		Lost:        n.control.lost,
+		Direct:      n.options.Mode == gate.Direct,
+	})
+	n.registry = prometheus.NewRegistry()
+	n.registerMetrics()
+	n.callerServer = &http.Server{
+		Handler:           n.handler(),
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       bodyTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maximumHeader,
+	}
+}
+
+// self is what the node states of itself at its start.
+func (n *Node) self() member.Member {
+	return member.Member{
+		VM:               n.options.VM,
+		Incarnation:      n.incarnation,
+		Revision:         1,
+		State:            member.Joining,
+		AvailabilityZone: n.options.AvailabilityZone,
+		Region:           n.options.Region,
+		CallerAddress:    n.options.CallerAddress,
+		PeerAddress:      n.options.PeerAddress,
+	}
+}
+
+// CallerAddress is where callers reach the node.
+func (n *Node) CallerAddress() string {
+	return n.options.CallerAddress
+}
+
+// PeerAddress is where other nodes reach the node.
+func (n *Node) PeerAddress() string {
+	return n.options.PeerAddress
+}
+
+// View returns what control published last.
+func (n *Node) View() *entry.View {
+	return n.view.Load()
+}
+
+// Run serves until the context ends or a part fails.
+func (n *Node) Run(ctx context.Context) (err error) {
+	defer util.Annotate(&err, "node %s", n.options.VM)
+	defer close(n.done)
+	ctx, cancel := context.WithCancel(ctx)
+	n.cancel = cancel
+	var group run.Group
+	for _, part := range []func(context.Context) error{
+		n.timers.Run,
+		n.network.Run,
+		n.control.run,
+		n.control.watchLoop,
+		n.control.vmLoop,
+		n.control.statusLoop,
+		func(ctx context.Context) error { return n.network.Serve(ctx, n.peers) },
+	} {
+		group.Add(func() error { return part(ctx) }, func(error) { cancel() })
+	}
+	group.Add(n.serveCallers, func(error) { n.stopCallers() })
+	err = group.Run()
+	n.platform.Close()
+	if errors.Is(err, context.Canceled) {
+		return nil
+	}
+	return err
+}
+
+func (n *Node) serveCallers() error {
+	listener := n.callers
+	if n.keys != nil {
+		listener = tls.NewListener(listener, n.keys.Server())
+	}
+	err := n.callerServer.Serve(listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.WithStack(err)
+}
+
+func (n *Node) stopCallers() {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownPeriod)
+	defer cancel()
+	if err := n.callerServer.Shutdown(ctx); err != nil {
+		_ = n.callerServer.Close()
+	}
+}
+
+// Stop ends the node at once and returns the number of requests cut off.
+func (n *Node) Stop() int64 {
+	cut := n.entry.InProgress()
+	n.cancel()
+	return cut
+}
+
+// Done is closed when Run has returned.
+func (n *Node) Done() <-chan struct{} {
+	return n.done
+}
+
+// Leave ends the node in peace: it is no longer named to callers and no longer
+// a gate, serves what still comes until no caller can know its address, then
+// stops.
+func (n *Node) Leave(ctx context.Context) error {
+	n.recorder.Record(timeline.Event{Name: timeline.NodeLeaving})
+	n.control.leave()
+	select {
+	case <-time.After(entry.AddressLife + time.Second):
+	case <-ctx.Done():
+		return errors.WithStack(ctx.Err())
+	}
+	for n.entry.InProgress() > 0 || n.gates.Busy() {
+		select {
+		case <-time.After(10 * time.Millisecond):
+		case <-ctx.Done():
+			return errors.WithStack(ctx.Err())
+		}
+	}
+	n.cancel()
+	return nil
+}
--- /dev/null
+++ b/internal/node/serve.go
@@ -0,0 +1,100 @@
+package node
+
+import (
+	"context"
+
+	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/internal/wire"
+	"github.com/bronzereach/bronzereach/pkg/member"
+)
+
+// Handle serves a call of another node.
+func (n *Node) Handle(ctx context.Context, call *wire.Call, send func(*wire.Reply) error) {
+	switch body := call.GetBody().(type) {
+	case *wire.Call_Batch:
+		n.handleBatch(ctx, body.Batch, send)
+	case *wire.Call_Describe:
+		reports := n.gates.Describe(ctx, body.Describe.GetServices())
+		reply(send, &wire.Reply{Body: &wire.Reply_Described{Described: &wire.Described{Reports: reports}}})
+	case *wire.Call_Exchange:
+		n.handleExchange(ctx, body.Exchange, send)
+	case *wire.Call_Probe:
+		n.handleProbe(ctx, body.Probe, send)
+	case *wire.Call_Fetch:
+		n.handleFetch(ctx, send)
+	case *wire.Call_Forward:
+		forwarded := n.entry.Forwarded(ctx, body.Forward)
+		reply(send, &wire.Reply{Body: &wire.Reply_Forwarded{Forwarded: forwarded}})
+	case *wire.Call_Release:
+		released := &wire.Released{InFlight: n.gates.Release(body.Release.GetService())}
+		reply(send, &wire.Reply{Body: &wire.Reply_Released{Released: released}})
+	}
+}
+
+// reply sends a single reply. If it fails, the caller sees its stream end.
+func reply(send func(*wire.Reply) error, message *wire.Reply) {
+	_ = send(message)
+}
+
+func (n *Node) handleBatch(ctx context.Context, batch *wire.Batch, send func(*wire.Reply) error) {
+	n.recorder.Record(timeline.Event{
+		Name:      timeline.BatchReceived,
+		RequestID: batch.GetRequestId(),
+	})
+	n.serveBatch(ctx, batch, func(sub *wire.SubReply) {
+		reply(send, &wire.Reply{Body: &wire.Reply_SubReply{SubReply: sub}})
+	})
+}
+
+// serveBatch does a batch on this node. As a standby it first makes sure that
+// the gate is gone.
+func (n *Node) serveBatch(ctx context.Context, batch *wire.Batch, send func(*wire.SubReply)) {
+	standby := false
+	if lost := batch.GetLostGate(); lost != "" {
+		standby = n.isLost(ctx, lost)
+		if !standby {
+			batch.LostGate = ""
+		}
+	}
+	n.gates.Serve(ctx, batch, standby, send)
+}
+
+// isLost reports whether this node too finds a member gone.
+func (n *Node) isLost(ctx context.Context, vm string) bool {
+	m, found := n.View().Members[vm]
+	if !found || m.State == member.Dead || m.State == member.Suspect {
+		return true
+	}
+	return !n.network.Reach(ctx, m.PeerAddress)
+}
+
+func (n *Node) handleExchange(ctx context.Context, message *wire.Exchange, send func(*wire.Reply) error) {
+	e := received{message: message, reply: make(chan *wire.Exchange, 1)}
+	n.control.post(e)
+	select {
+	case answer := <-e.reply:
+		reply(send, &wire.Reply{Body: &wire.Reply_Exchange{Exchange: answer}})
+	case <-ctx.Done():
+	}
+}
+
+// handleProbe tries to reach a member for another that could not.
+func (n *Node) handleProbe(ctx context.Context, probe *wire.Probe, send func(*wire.Reply) error) {
+	result := &wire.ProbeResult{}
+	if m, found := n.View().Members[probe.GetVm()]; found {
+		x := &exchange{control: n.control, partner: m}
+		_, err := x.ask(ctx, &wire.Exchange{From: n.options.VM, ConfigVersion: n.control.version.Load()})
+		result.Reached = err == nil
+	}
+	reply(send, &wire.Reply{Body: &wire.Reply_ProbeResult{ProbeResult: result}})
+}
+
+func (n *Node) handleFetch(ctx context.Context, send func(*wire.Reply) error) {
+	e := wanted{reply: make(chan *wire.Document, 1)}
+	n.control.post(e)
+	select {
+	case document := <-e.reply:
+		reply(send, &wire.Reply{Body: &wire.Reply_Document{Document: document}})
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/node/trial.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/bronzereach/bronzereach/internal/promotion"
+	"github.com/bronzereach/bronzereach/pkg/document"
+	"github.com/bronzereach/bronzereach/pkg/query"
+)
+
+// trialTimeout bounds how long a trial waits for the document to be in force.
+const trialTimeout = 10 * time.Second
+
+// Trial tells how a trial ended.
+type Trial struct {
+	Passed bool   `json:"passed"`
+	Digest string `json:"digest"`
+	// Checks tells of each check in the document's order.
+	Checks  []TrialCheck `json:"checks"`
+	Message string       `json:"message,omitempty"`
+}
+
+// TrialCheck tells how one check ended.
+type TrialCheck struct {
+	Kind     string  `json:"kind"`
+	Query    string  `json:"query"`
+	Passed   bool    `json:"passed"`
+	Records  int     `json:"records"`
+	Coverage float64 `json:"coverage"`
+	Message  string  `json:"message,omitempty"`
+}
+
+func (n *Node) serveTrial(w http.ResponseWriter, r *http.Request) {
+	request, ok := readPromotion(w, r)
+	if !ok {
+		return
+	}
+	trial := n.trial(r.Context(), request)
+	status := http.StatusOK
+	if !trial.Passed {
+		status = http.StatusConflict
+	}
+	writeJSON(w, status, trial)
+}
+
+// trial puts a document in force in this environment, runs its checks and
+// leaves the record that production asks for.
+func (n *Node) trial(ctx context.Context, request PromotionRequest) Trial {
+	trial := Trial{Digest: document.Digest([]byte(request.Text))}
+	if n.options.Environment == Production {
+		trial.Message = "this node is of the production environment; a trial needs a node of another one"
+		return trial
+	}
+	result := n.promote(ctx, request, true)
+	if result.Outcome != promotion.Accepted {
+		trial.Message = "the document could not be put in force here: " + result.Message
+		return trial
+	}
+	if !n.awaitConfig(ctx, result.Version) {
+		trial.Message = "the document did not come into force here"
+		return trial
+	}
+	trial.Passed = true
+	for _, check := range n.View().Document.Checks {
+		outcome := n.check(ctx, check)
+		trial.Checks = append(trial.Checks, outcome)
+		trial.Passed = trial.Passed && outcome.Passed
+	}
+	if trial.Passed {
+		n.recordTrial(ctx, &trial)
+	}
+	return trial
+}
+
+func (n *Node) awaitConfig(ctx context.Context, version uint64) bool {
+	ctx, cancel := context.WithTimeout(ctx, trialTimeout)
+	defer cancel()
+	for n.View().ConfigVersion < version {
+		if ctx.Err() != nil {
+			return false
+		}
+		sleep(ctx, controlInterval)
+	}
+	return true
+}
+
+func (n *Node) check(ctx context.Context, check document.Check) TrialCheck {
+	a := n.entry.Answer(ctx, query.Request{Kind: check.Kind, Query: query.Text(check.Query), Caller: "trial"})
+	outcome := TrialCheck{
+		Kind:     check.Kind,
+		Query:    check.Query,
+		Records:  len(a.Records),
+		Coverage: a.Coverage.Fraction,
+	}
+	switch {
+	case a.Error != nil:
+		outcome.Message = a.Error.Message
+	case outcome.Records < check.MinimumRecords:
+		outcome.Message = fmt.Sprintf("fewer than %d records", check.MinimumRecords)
+	case outcome.Coverage < check.MinimumCoverage:
+		outcome.Message = fmt.Sprintf("coverage below %g", check.MinimumCoverage)
+	default:
+		outcome.Passed = true
+	}
+	return outcome
+}
+
+func (n *Node) recordTrial(ctx context.Context, trial *Trial) {
+	value, err := json.Marshal(trial)
+	if err == nil {
+		_, err = n.platform.Put(ctx, promotion.TrialKey(trial.Digest), value, 0)
+	}
+	if err == nil {
+		return
+	}
+	existing, readErr := n.platform.Get(ctx, promotion.TrialKey(trial.Digest))
+	if readErr != nil || existing.Version == 0 {
+		trial.Passed = false
+		trial.Message = "the trial's record could not be written: " + err.Error()
+	}
+}
--- /dev/null
+++ b/internal/promotion/promotion.go
@@ -0,0 +1,232 @@
+// Package promotion puts documents in force: it tells which document a version
+// of the configuration holds, checks that it was trialled, writes it under a
+// conditional update and resolves lost answers by reading back.
+package promotion
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/pkg/errors"
+
+	"github.com/bronzereach/bronzereach/internal/platform"
+	"github.com/bronzereach/bronzereach/internal/util"
+	"github.com/bronzereach/bronzereach/pkg/document"
+)
+
+// historyLength is how many earlier promotions a record names.
+const historyLength = 32
+
+// Pauses between tries of a promotion whose outcome is not known.
+const (
+	firstPause   = 50 * time.Millisecond
+	longestPause = 2 * time.Second
+)
+
+// Record is the value of the configuration object.
+type Record struct {
+	// Promotion tells this promotion from all others, also of the same text.
+	Promotion string `json:"promotion"`
+	Digest    string `json:"digest"`
+	Operator  string `json:"operator"`
+	Text      string `json:"text"`
+	// History names the promotions before this one, the newest first.
+	History []Past `json:"history,omitempty"`
+}
+
+// Past is an earlier promotion.
+type Past struct {
+	Promotion string `json:"promotion"`
+	Digest    string `json:"digest"`
+	Version   uint64 `json:"version"`
+}
+
+// ParseRecord reads a record and its document.
+func ParseRecord(value []byte) (record Record, parsed *document.Document, err error) {
+	defer util.Annotate(&err, "read configuration")
+	if err := json.Unmarshal(value, &record); err != nil {
+		return record, nil, errors.WithStack(err)
+	}
+	parsed, err = document.Parse([]byte(record.Text))
+	return record, parsed, err
+}
+
+// Key is the platform's key of an environment's configuration.
+func Key(environment string) string {
+	return environment + "/config/current"
+}
+
+// TrialKey is the platform's key of the record that a document passed trial.
+func TrialKey(digest string) string {
+	return "trials/" + digest
+}
+
+// Outcome is how a promotion ended.
+type Outcome string
+
+// The outcomes.
+const (
+	// Accepted: the document is in force or was until a later promotion.
+	Accepted Outcome = "accepted"
+	// Conflict: another promotion came first; this one never took effect.
+	Conflict Outcome = "conflict"
+	// NotTrialled: there is no record that the document passed trial.
+	NotTrialled Outcome = "notTrialled"
+	// NotDone: the platform can't be reached and nothing was written.
+	NotDone Outcome = "notDone"
+	// Undecided: a write may have taken effect; the node goes on resolving.
+	Undecided Outcome = "unknown"
+)
+
+// Result tells an operator how a promotion ended.
+type Result struct {
+	Outcome   Outcome `json:"outcome"`
+	Promotion string  `json:"promotion,omitempty"`
+	// Version is the accepted version, or that of the winner.
+	Version uint64 `json:"version,omitempty"`
+	// Winner is set on a conflict.
+	Winner *Past `json:"winner,omitempty"`
+	// Operator of the winner.
+	Operator string `json:"operator,omitempty"`
+	// Differences lists the lines that the winner's document has and ours
+	// has not (+) and the reverse (-).
+	Differences []string `json:"differences,omitempty"`
+	Message     string   `json:"message,omitempty"`
+}
+
+// Attempt is one promotion on its way.
+type Attempt struct {
+	client *platform.Client
+	key    string
+	base   uint64
+	record Record
+	// Value is the record as it is written.
+	Value []byte
+}
+
+// Config describes a promotion.
+type Config struct {
+	Client      *platform.Client
+	Environment string
+	Operator    string
+	Text        []byte
+	// Base is the version that the operator saw in force; 0 for the newest.
+	Base uint64
+	// Trial is true if the document need not have passed trial.
+	Trial bool
+}
+
+// Begin checks that the document may be promoted. A result is returned if the
+// promotion is already over.
+func Begin(ctx context.Context, config Config) (attempt *Attempt, result *Result) {
+	digest := document.Digest(config.Text)
+	if !config.Trial {
+		trial, err := config.Client.Get(ctx, TrialKey(digest))
+		if err != nil {
+			return nil, &Result{Outcome: NotDone, Message: err.Error()}
+		}
+		if trial.Version == 0 {
+			return nil, &Result{Outcome: NotTrialled, Message: "document " + digest + " has not passed trial"}
+		}
+	}
+	current, err := config.Client.Get(ctx, Key(config.Environment))
+	if err != nil {
+		return nil, &Result{Outcome: NotDone, Message: err.Error()}
+	}
+	attempt = &Attempt{client: config.Client, key: Key(config.Environment), base: current.Version}
+	attempt.record = Record{
+		Promotion: uuid.NewString(),
+		Digest:    digest,
+		Operator:  config.Operator,
+		Text:      string(config.Text),
+	}
+	if config.Base != 0 && config.Base != current.Version {
+		return nil, attempt.conflict(current)
+	}
+	if current.Version > 0 {
+		attempt.record.History = historyOf(current)
+	}
+	attempt.Value, err = json.Marshal(attempt.record)
+	if err != nil {
+		return nil, &Result{Outcome: NotDone, Message: err.Error()}
+	}
+	return attempt, nil
+}
+
+func historyOf(current platform.Object) []Past {
+	var record Record
+	if err := json.Unmarshal(current.Value, &record); err != nil {
+		return nil
+	}
+	past := Past{Promotion: record.Promotion, Digest: record.Digest, Version: current.Version}
+	history := append([]Past{past}, record.History...)
+	return history[:min(len(history), historyLength)]
+}
+
+// Resolve writes the record and reads back until the outcome is certain or the
+// context ends; then it is undecided, and Resolve may be called again. Writing
+// again is safe: each write is conditional on the same version.
+func (a *Attempt) Resolve(ctx context.Context) Result {
+	pause := firstPause
+	for {
+		version, err := a.client.Put(ctx, a.key, a.Value, a.base)
+		if err == nil {
+			return Result{Outcome: Accepted, Promotion: a.record.Promotion, Version: version}
+		}
+		if errors.Is(err, platform.ErrConflict) {
+			if result := a.readBack(ctx); result != nil {
+				return *result
+			}
+		}
+		jitter := time.Duration(rand.Int64N(int64(pause)))
+		select {
+		case <-ctx.Done():
+			return Result{Outcome: Undecided, Promotion: a.record.Promotion, Message: "the platform did not say whether it took the document"}
+		case <-time.After(pause/2 + jitter):
+		}
+		pause = min(2*pause, longestPause)
+	}
+}
+
+// readBack tells whether the version above the base is this promotion's.
+func (a *Attempt) readBack(ctx context.Context) *Result {
+	current, err := a.client.Get(ctx, a.key)
+	if err != nil || current.Version <= a.base {
+		return nil
+	}
+	var found Record
+	if err := json.Unmarshal(current.Value, &found); err != nil {
+		return nil
+	}
+	if found.Promotion == a.record.Promotion {
+		return &Result{Outcome: Accepted, Promotion: a.record.Promotion, Version: current.Version}
+	}
+	for _, past := range found.History {
+		if past.Promotion == a.record.Promotion {
+			return &Result{Outcome: Accepted, Promotion: a.record.Promotion, Version: past.Version}
+		}
+	}
+	if current.Version > a.base+historyLength {
+		// The history no longer reaches back to the base.
+		return &Result{Outcome: Undecided, Promotion: a.record.Promotion, Message: "too many promotions have followed to tell"}
+	}
+	return a.conflict(current)
+}
+
+func (a *Attempt) conflict(current platform.Object) *Result {
+	var winner Record
+	if err := json.Unmarshal(current.Value, &winner); err != nil {
+		return &Result{Outcome: Conflict, Version: current.Version}
+	}
+	return &Result{
+		Outcome:     Conflict,
+		Version:     current.Version,
+		Winner:      &Past{Promotion: winner.Promotion, Digest: winner.Digest, Version: current.Version},
+		Operator:    winner.Operator,
+		Differences: Differences(a.record.Text, winner.Text),
+		Message:     "another document was promoted first",
+	}
+}
--- /dev/null
+++ b/internal/timeline/timeline.go
@@ -0,0 +1,158 @@
+// Package timeline records typed events in a bounded ring on each node and
+// merges the rings of many nodes into one ordered list.
+package timeline
+
+import (
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/go-logr/logr"
+)
+
+// ringSize is the number of events a node keeps.
+const ringSize = 8192
+
+// Name is the type of an event.
+type Name string
+
+// The events a node records.
+const (
+	RequestReceived   Name = "requestReceived"
+	RequestAnswered   Name = "requestAnswered"
+	RequestRefused    Name = "requestRefused"
+	RequestForwarded  Name = "requestForwarded"
+	BatchReceived     Name = "batchReceived"
+	AttemptStarted    Name = "attemptStarted"
+	AttemptEnded      Name = "attemptEnded"
+	HedgeStarted      Name = "hedgeStarted"
+	ReplyDropped      Name = "replyDropped"
+	SnapshotRestarted Name = "snapshotRestarted"
+	MemberChanged     Name = "memberChanged"
+	GateAcquired      Name = "gateAcquired"
+	GateReleased      Name = "gateReleased"
+	ConfigApplied     Name = "configApplied"
+	ConfigPromoted    Name = "configPromoted"
+	UpstreamLeaving   Name = "upstreamLeaving"
+	UpstreamChanged   Name = "upstreamChanged"
+	StoreLost         Name = "storeLost"
+	StoreFound        Name = "storeFound"
+	NodeLeaving       Name = "nodeLeaving"
+)
+
+// Event is one thing that happened on one node.
+type Event struct {
+	Stamp         Stamp  `json:"stamp"`
+	VM            string `json:"vm"`
+	Name          Name   `json:"name"`
+	RequestID     string `json:"requestId,omitempty"`
+	Service       string `json:"service,omitempty"`
+	Upstream      string `json:"upstream,omitempty"`
+	Member        string `json:"member,omitempty"`
+	ConfigVersion uint64 `json:"configVersion,omitempty"`
+	Detail        string `json:"detail,omitempty"`
+}
+
+// Filter selects events. An empty field selects all.
+type Filter struct {
+	RequestID     string
+	VM            string
+	Upstream      string
+	ConfigVersion uint64
+}
+
+// Match reports whether the filter selects the event.
+func (f Filter) Match(event Event) bool {
+	if f.RequestID != "" && event.RequestID != f.RequestID {
+		return false
+	}
+	if f.VM != "" && event.VM != f.VM && event.Member != f.VM {
+		return false
+	}
+	if f.Upstream != "" && event.Upstream != f.Upstream {
+		return false
+	}
+	return f.ConfigVersion == 0 || event.ConfigVersion == f.ConfigVersion
+}
+
+// Recorder keeps the newest events of one node.
+type Recorder struct {
+	// Clock stamps the events and is shared with the peer links.
+	Clock *Clock
+
+	vm  string
+	log logr.Logger
+	mu  sync.Mutex
+	// ring holds the newest events; next is the slot written next.
+	ring []Event
+	next int
+}
+
+// NewRecorder returns an empty recorder for the VM. Events outside the traffic
+// path are also logged.
+func NewRecorder(vm string, log logr.Logger) *Recorder {
+	return &Recorder{Clock: &Clock{}, vm: vm, log: log, ring: make([]Event, 0, ringSize)}
+}
+
+// Record stamps the event and keeps it.
+func (r *Recorder) Record(event Event) {
+	event.Stamp = r.Clock.Now()
+	event.VM = r.vm
+	r.keep(event)
+	if event.RequestID == "" {
+		r.logEvent(event)
+	}
+}
+
+func (r *Recorder) keep(event Event) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.ring) < ringSize {
+		r.ring = append(r.ring, event)
+		return
+	}
+	r.ring[r.next] = event
+	r.next = (r.next + 1) % ringSize
+}
+
+func (r *Recorder) logEvent(event Event) {
+	pairs := []any{"vm", event.VM}
+	for _, pair := range [][2]string{
+		{"service", event.Service},
+		{"upstream", event.Upstream},
+		{"member", event.Member},
+		{"detail", event.Detail},
+	} {
+		if pair[1] != "" {
+			pairs = append(pairs, pair[0], pair[1])
+		}
+	}
+	if event.ConfigVersion != 0 {
+		pairs = append(pairs, "configVersion", event.ConfigVersion)
+	}
+	r.log.Info(string(event.Name), pairs...)
+}
+
+// Events returns the kept events that the filter selects, oldest first.
+func (r *Recorder) Events(filter Filter) []Event {
+	r.mu.Lock()
+	kept := slices.Clone(r.ring)
+	r.mu.Unlock()
+	selected := slices.DeleteFunc(kept, func(e Event) bool { return !filter.Match(e) })
+	return Merge(selected)
+}
+
+// Merge joins lists of events into one ordered by stamp, then by VM.
+func Merge(lists ...[]Event) []Event {
+	merged := slices.Concat(lists...)
+	slices.SortStableFunc(merged, func(a, b Event) int {
+		if a.Stamp != b.Stamp {
+			if a.Stamp < b.Stamp {
+				return -1
+			}
+			return 1
+		}
+		return strings.Compare(a.VM, b.VM)
+	})
+	return merged
+}
--- /dev/null
+++ b/pkg/admission/admission.go
@@ -0,0 +1,141 @@
+// Package admission decides how much of each rank's offered load is admitted,
+// so that whole requests are refused early and all shards agree without
+// talking about a single request.
+package admission
+
+import (
+	"math"
+	"time"
+)
+
+// MaximumRanks is the largest number of ranks of a document.
+const MaximumRanks = 8
+
+// Constants of the controller.
+const (
+	// window is the time constant of the averages.
+	window = 400 * time.Millisecond
+	// target is the utilisation that admitted work is held to.
+	target = 0.97
+	// minimumFraction keeps a trickle of each rank, so that its offered load
+	// stays known.
+	minimumFraction = 0.002
+)
+
+// Load is the demand on one service by rank, in requests a second.
+type Load [MaximumRanks]float64
+
+// Fractions is the share of each rank's requests that is admitted, 0 to 1.
+type Fractions [MaximumRanks]float32
+
+// Everything admits all requests of all ranks.
+func Everything() Fractions {
+	var f Fractions
+	for i := range f {
+		f[i] = 1
+	}
+	return f
+}
+
+// Divide shares capacity (requests a second) out to the ranks: each receives
+// its floor (a fraction of capacity) if it asks for that much, and what is
+// left goes to the most urgent first.
+func Divide(capacity float64, offered Load, floors []float64) (fractions Fractions) {
+	var granted Load
+	left := capacity
+	for rank, floor := range floors {
+		granted[rank] = min(offered[rank], floor*capacity)
+		left -= granted[rank]
+	}
+	for rank := range floors {
+		more := min(offered[rank]-granted[rank], max(0, left))
+		granted[rank] += more
+		left -= more
+	}
+	fractions = Everything()
+	for rank := range floors {
+		if offered[rank] > 0 {
+			fractions[rank] = float32(max(minimumFraction, min(1, granted[rank]/offered[rank])))
+		}
+	}
+	return fractions
+}
+
+// Meter learns one service's offered load and capacity. It is not safe for
+// concurrent use.
+type Meter struct {
+	// arrived holds the weights that came since the last tick, by rank.
+	arrived Load
+	offered Load
+	// busy is the slot time used since the last tick, in seconds.
+	busy      float64
+	completed float64
+	// meanService is the average slot time of a request, in seconds.
+	meanService float64
+	last        time.Time
+}
+
+// Arrive notes a request of the rank that stands for weight requests of the
+// offered load.
+func (m *Meter) Arrive(rank int, weight float64) {
+	m.arrived[rank] += weight
+}
+
+// Complete notes that a request held a slot for the time.
+func (m *Meter) Complete(held time.Duration) {
+	m.busy += held.Seconds()
+	m.completed++
+}
+
+// Tick averages what came since the last tick and returns what is to be
+// admitted, given the slots that the service's upstreams have now.
+func (m *Meter) Tick(now time.Time, slots float64, floors []float64) Fractions {
+	if m.last.IsZero() {
+		m.last = now
+		return Everything()
+	}
+	elapsed := now.Sub(m.last)
+	if elapsed <= 0 {
+		elapsed = time.Millisecond
+	}
+	m.last = now
+	keep := math.Exp(-elapsed.Seconds() / window.Seconds())
+	for rank := range m.offered {
+		rate := m.arrived[rank] / elapsed.Seconds()
+		m.offered[rank] = keep*m.offered[rank] + (1-keep)*rate
+		m.arrived[rank] = 0
+	}
+	m.learnService(elapsed)
+	if m.meanService == 0 {
+		return Everything()
+	}
+	return Divide(target*slots/m.meanService, m.offered, floors)
+}
+
+// serviceWindow is the time constant of the mean service time.
+const serviceWindow = 2 * time.Second
+
+func (m *Meter) learnService(elapsed time.Duration) {
+	if m.completed == 0 {
+		return
+	}
+	mean := m.busy / m.completed
+	m.busy, m.completed = 0, 0
+	if m.meanService == 0 {
+		m.meanService = mean
+		return
+	}
+	keep := math.Exp(-elapsed.Seconds() / serviceWindow.Seconds())
+	m.meanService = keep*m.meanService + (1-keep)*mean
+}
+
+// Offered returns the averaged offered load.
+func (m *Meter) Offered() Load {
+	return m.offered
+}
+
+// Admitted decides one request: all who know its hash and the fraction come to
+// the same result.
+func Admitted(requestHash uint64, fraction float32) bool {
+	return float64(requestHash)/float64(math.MaxUint64) < float64(fraction)
+}
--- /dev/null
+++ b/pkg/document/parse.go
@@ -0,0 +1,264 @@
+package document
+
+import (
+	"net"
+	"slices"
+
+	"github.com/bronzereach/bronzereach/pkg/answer"
+)
+
+// MaximumSize is the largest document accepted, in bytes: what one value of
+// the platform holds, less room for its frame.
+const MaximumSize = 900 << 10
+
+// Fallbacks of optional keys.
+const (
+	defaultHedge = 0.05
+	defaultRetry = 0.10
+	defaultWorth = 1.0
+	defaultBest  = 10
+)
+
+// parser collects a document and the names already taken.
+type parser struct {
+	document *Document
+	// owners maps an upstream's address to the service that has it.
+	owners map[string]string
+	// targets maps the name of an index or pool to its limits.
+	targets map[string]Limits
+	ranks   map[string]int
+}
+
+// Parse reads a document. The error lists every problem with its line.
+func Parse(text []byte) (document *Document, err error) {
+	if len(text) > MaximumSize {
+		return nil, Problems{{Message: "the document is larger than 900 KiB"}}
+	}
+	reader, err := NewReader(text)
+	if err != nil {
+		return nil, err
+	}
+	p := &parser{
+		document: &Document{Text: slices.Clone(text)},
+		owners:   map[string]string{},
+		targets:  map[string]Limits{},
+		ranks:    map[string]int{},
+	}
+	root := reader.Root()
+	p.document.Name = root.Text("name")
+	p.readRanks(root)
+	p.readIndexes(root)
+	p.readPools(root)
+	p.readServices(root)
+	p.readKinds(root)
+	p.readChecks(root)
+	if err := reader.Finish(); err != nil {
+		return nil, err
+	}
+	p.document.link()
+	return p.document, nil
+}
+
+func (p *parser) readRanks(root *Table) {
+	total := 0.0
+	tables := root.Tables("rank")
+	if len(tables) == 0 {
+		root.Problemf("", "no [[rank]] is given")
+	}
+	for _, table := range tables {
+		rank := Rank{Name: table.Text("name"), Floor: table.PercentOr("floor", 0)}
+		if _, taken := p.ranks[rank.Name]; taken {
+			table.Problemf("name", "rank %q is given twice", rank.Name)
+		}
+		p.ranks[rank.Name] = len(p.document.Ranks)
+		p.document.Ranks = append(p.document.Ranks, rank)
+		total += rank.Floor
+		if total > 1 {
+			table.Problemf("floor", "the floors add up to more than 100%%")
+			total = 0
+		}
+		table.Done()
+	}
+}
+
+func readLimits(table *Table) Limits {
+	limits := Limits{
+		Slots:          table.Count("slots"),
+		Connections:    table.Count("connections"),
+		ConnectionCost: table.DurationOr("connectionCost", 0),
+	}
+	if limits.Connections < limits.Slots {
+		table.Problemf("connections", "connections must be at least as many as slots")
+	}
+	return limits
+}
+
+func (p *parser) target(table *Table) (name string, limits Limits) {
+	name = table.Text("name")
+	limits = readLimits(table)
+	if _, taken := p.targets[name]; taken {
+		table.Problemf("name", "index or pool %q is given twice", name)
+	}
+	p.targets[name] = limits
+	return name, limits
+}
+
+func (p *parser) readIndexes(root *Table) {
+	for _, table := range root.Tables("index") {
+		name, limits := p.target(table)
+		p.document.Indexes = append(p.document.Indexes, Index{Name: name, Limits: limits})
+		table.Done()
+	}
+}
+
+func (p *parser) readPools(root *Table) {
+	for _, table := range root.Tables("pool") {
+		name, limits := p.target(table)
+		service := Service{Name: name, Pool: name, Limits: limits, Upstreams: table.Texts("upstreams")}
+		p.claim(table, service)
+		p.document.Pools = append(p.document.Pools, Pool{Name: name, Limits: limits})
+		p.document.Services = append(p.document.Services, service)
+		table.Done()
+	}
+}
+
+// claim notes the service as the owner of its upstreams.
+func (p *parser) claim(table *Table, service Service) {
+	for _, upstream := range service.Upstreams {
+		if _, _, err := net.SplitHostPort(upstream); err != nil {
+			table.Problemf("upstreams", "upstream %q is not host:port", upstream)
+		}
+		if owner, taken := p.owners[upstream]; taken {
+			table.Problemf("upstreams", "upstream %q stands in %q and in %q", upstream, owner, service.Name)
+		}
+		p.owners[upstream] = service.Name
+	}
+}
+
+func (p *parser) readServices(root *Table) {
+	names := map[string]bool{}
+	served := map[string]bool{}
+	for _, table := range root.Tables("service") {
+		service := Service{
+			Name:      table.Text("name"),
+			Index:     table.Text("index"),
+			Upstreams: table.Texts("upstreams"),
+		}
+		if names[service.Name] || p.isPool(service.Name) {
+			table.Problemf("name", "service %q is given twice", service.Name)
+		}
+		names[service.Name] = true
+		if !p.isIndex(service.Index) {
+			table.Problemf("index", "no [[index]] is named %q", service.Index)
+		}
+		served[service.Index] = true
+		service.Limits = p.targets[service.Index]
+		p.claim(table, service)
+		p.document.Services = append(p.document.Services, service)
+		table.Done()
+	}
+	for i, table := range root.Tables("index") {
+		if i < len(p.document.Indexes) && !served[p.document.Indexes[i].Name] {
+			table.Problemf("name", "index %q has no [[service]]", p.document.Indexes[i].Name)
+		}
+	}
+}
+
+func (p *parser) isPool(name string) bool {
+	return slices.ContainsFunc(p.document.Pools, func(pool Pool) bool { return pool.Name == name })
+}
+
+func (p *parser) isIndex(name string) bool {
+	return slices.ContainsFunc(p.document.Indexes, func(index Index) bool { return index.Name == name })
+}
+
+func (p *parser) readKinds(root *Table) {
+	names := map[string]bool{}
+	tables := root.Tables("kind")
+	if len(tables) == 0 {
+		root.Problemf("", "no [[kind]] is given")
+	}
+	for _, table := range tables {
+		kind := p.readKind(table)
+		if names[kind.Name] {
+			table.Problemf("name", "kind %q is given twice", kind.Name)
+		}
+		names[kind.Name] = true
+		p.document.Kinds = append(p.document.Kinds, kind)
+		table.Done()
+	}
+}
+
+func (p *parser) readKind(table *Table) Kind {
+	kind := Kind{
+		Name:            table.Text("name"),
+		Index:           table.TextOr("index", ""),
+		Pool:            table.TextOr("pool", ""),
+		Deadline:        table.Duration("deadline"),
+		MinimumCoverage: table.PercentOr("minimumCoverage", 1),
+		Merge:           answer.Rule(table.TextOr("merge", string(answer.All))),
+		Best:            table.CountOr("best", defaultBest),
+		Worth:           table.NumberOr("worth", defaultWorth),
+		Repeat:          table.BoolOr("repeat", true),
+		Hedge:           table.PercentOr("hedge", defaultHedge),
+		Retry:           table.PercentOr("retry", defaultRetry),
+	}
+	kind.AnswerBy = table.DurationOr("answerBy", kind.Deadline)
+	rank, found := p.ranks[table.Text("rank")]
+	if !found {
+		table.Problemf("rank", "no [[rank]] is named %q", table.TextOr("rank", ""))
+	}
+	kind.Rank = rank
+	p.checkKind(table, kind)
+	return kind
+}
+
+func (p *parser) checkKind(table *Table, kind Kind) {
+	switch {
+	case (kind.Index == "") == (kind.Pool == ""):
+		table.Problemf("", "kind %q must name an index or a pool, and not both", kind.Name)
+	case kind.Index != "" && !p.isIndex(kind.Index):
+		table.Problemf("index", "no [[index]] is named %q", kind.Index)
+	case kind.Pool != "" && !p.isPool(kind.Pool):
+		table.Problemf("pool", "no [[pool]] is named %q", kind.Pool)
+	}
+	if kind.AnswerBy > kind.Deadline {
+		table.Problemf("answerBy", "answerBy is later than the deadline")
+	}
+	if !slices.Contains([]answer.Rule{answer.All, answer.Best, answer.Sums}, kind.Merge) {
+		table.Problemf("merge", "merge must be \"all\", \"best\" or \"sums\"")
+	}
+	if !kind.Repeat && kind.Index != "" {
+		table.Problemf("repeat", "a kind that is not to be repeated must name a pool: it runs at one upstream")
+	}
+	if !kind.Repeat && table.Has("hedge") && kind.Hedge > 0 {
+		table.Problemf("hedge", "a kind that is not to be repeated can't be hedged")
+	}
+}
+
+func (p *parser) readChecks(root *Table) {
+	for _, table := range root.Tables("check") {
+		check := Check{
+			Kind:            table.Text("kind"),
+			Query:           table.Text("query"),
+			MinimumRecords:  table.CountOr("minimumRecords", 0),
+			MinimumCoverage: table.PercentOr("minimumCoverage", 1),
+		}
+		p.checkCheck(table, check)
+		p.document.Checks = append(p.document.Checks, check)
+		table.Done()
+	}
+}
+
+func (p *parser) checkCheck(table *Table, check Check) {
+	for _, kind := range p.document.Kinds {
+		if kind.Name != check.Kind {
+			continue
+		}
+		if !kind.Repeat {
+			table.Problemf("kind", "kind %q is not to be repeated and can't be a check", check.Kind)
+		}
+		return
+	}
+	table.Problemf("kind", "no [[kind]] is named %q", check.Kind)
+}
--- /dev/null
+++ b/pkg/member/table.go
@@ -0,0 +1,288 @@
+package member
+
+import (
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Constants of failure detection and gossip.
+const (
+	// SuspectTimeout is how long a suspect has to refute.
+	SuspectTimeout = 700 * time.Millisecond
+	// tombstone is how long the dead are remembered, so that old news of them
+	// doesn't bring them back.
+	tombstone = 5 * time.Minute
+	// Buckets is the number of parts of the table that are compared apart.
+	Buckets = 64
+	// maximumUpdates is the number of claims sent along with one exchange.
+	maximumUpdates = 24
+	// ownZone and ownRegion are the chances that an exchange stays in the
+	// availability zone, or else in the region.
+	ownZone   = 0.6
+	ownRegion = 0.8
+	// deadContact is the chance that an exchange tries a dead member, so that
+	// parts that lost each other meet again.
+	deadContact = 0.05
+)
+
+// row is a member and when its claim was taken over.
+type row struct {
+	member  Member
+	changed time.Time
+}
+
+// Table is one node's view of all members. The node's own row is always what
+// it states of itself.
+type Table struct {
+	self string
+	rows map[string]*row
+	// buckets holds the combined hash of each part of the table.
+	buckets [Buckets]uint64
+	updates *Spread[string, Member]
+	// order lists the other members' names, sorted, for choosing among them.
+	order []string
+	// generation rises with every change.
+	generation uint64
+}
+
+// NewTable returns a table with only the node itself.
+func NewTable(self Member, now time.Time) *Table {
+	t := &Table{self: self.VM, rows: map[string]*row{}, updates: NewSpread[string, Member]()}
+	t.put(self, now)
+	return t
+}
+
+// Self returns what the node states of itself.
+func (t *Table) Self() Member {
+	return t.rows[t.self].member
+}
+
+// Get finds a member by its VM.
+func (t *Table) Get(vm string) (Member, bool) {
+	r, found := t.rows[vm]
+	if !found {
+		return Member{}, false
+	}
+	return r.member, true
+}
+
+// Members returns all rows, sorted by VM.
+func (t *Table) Members() []Member {
+	members := make([]Member, 0, len(t.rows))
+	for _, vm := range slices.Sorted(maps.Keys(t.rows)) {
+		members = append(members, t.rows[vm].member)
+	}
+	return members
+}
+
+// Generation rises with every change of the table.
+func (t *Table) Generation() uint64 {
+	return t.generation
+}
+
+// Digest is the combined hash of the whole table: equal tables have equal ones.
+func (t *Table) Digest() uint64 {
+	digest := uint64(0)
+	for _, bucket := range t.buckets {
+		digest ^= bucket
+	}
+	return digest
+}
+
+// BucketHashes returns the combined hash of each part of the table.
+func (t *Table) BucketHashes() []uint64 {
+	return slices.Clone(t.buckets[:])
+}
+
+// Differing returns the parts whose hashes differ from the given ones.
+func (t *Table) Differing(hashes []uint64) []uint32 {
+	var differing []uint32
+	for i, hash := range hashes {
+		if i < Buckets && t.buckets[i] != hash {
+			differing = append(differing, uint32(i))
+		}
+	}
+	return differing
+}
+
+// InBuckets returns the members of the given parts.
+func (t *Table) InBuckets(wanted []uint32) []Member {
+	var members []Member
+	for _, r := range t.rows {
+		if slices.Contains(wanted, bucketOf(r.member.VM)) {
+			members = append(members, r.member)
+		}
+	}
+	return members
+}
+
+func bucketOf(vm string) uint32 {
+	return uint32(xxhash.Sum64String(vm) % Buckets)
+}
+
+// put replaces a row and keeps the hashes true.
+func (t *Table) put(m Member, now time.Time) {
+	bucket := bucketOf(m.VM)
+	if old, found := t.rows[m.VM]; found {
+		t.buckets[bucket] ^= old.member.Hash()
+	} else if m.VM != t.self {
+		position, _ := slices.BinarySearch(t.order, m.VM)
+		t.order = slices.Insert(t.order, position, m.VM)
+	}
+	t.buckets[bucket] ^= m.Hash()
+	t.rows[m.VM] = &row{member: m, changed: now}
+	t.updates.Put(m.VM, m)
+	t.generation++
+}
+
+// Restate changes what the node states of itself.
+func (t *Table) Restate(now time.Time, state State) {
+	own := t.Self()
+	if own.State == state {
+		return
+	}
+	t.put(own.WithState(state).WithRevision(own.Revision+1), now)
+}
+
+// Merge takes over the claims that supersede known ones and returns them. A
+// claim against the node itself is refuted. stale is true if another process
+// has since started under the node's own name.
+func (t *Table) Merge(now time.Time, claims []Member) (changed []Member, stale bool) {
+	for _, claim := range claims {
+		if claim.VM == t.self {
+			stale = t.refute(now, claim) || stale
+			continue
+		}
+		known, found := t.rows[claim.VM]
+		if found && !claim.Supersedes(known.member) {
+			continue
+		}
+		if !found && claim.State == Dead {
+			continue
+		}
+		t.put(claim, now)
+		changed = append(changed, claim)
+	}
+	return changed, stale
+}
+
+func (t *Table) refute(now time.Time, claim Member) (stale bool) {
+	own := t.Self()
+	if claim.Incarnation != own.Incarnation {
+		return claim.Incarnation > own.Incarnation
+	}
+	if claim.Supersedes(own) {
+		t.put(own.WithRevision(claim.Revision+1), now)
+	}
+	return false
+}
+
+// Suspect notes that a member could not be reached, not even through others.
+// It reports whether that is news.
+func (t *Table) Suspect(now time.Time, vm string) bool {
+	r, found := t.rows[vm]
+	if !found || vm == t.self || r.member.State == Suspect || r.member.State == Dead {
+		return false
+	}
+	state := Suspect
+	if r.member.State == Leaving {
+		// A leaving member that can't be reached has left.
+		state = Dead
+	}
+	t.put(r.member.WithState(state), now)
+	return true
+}
+
+// Tick declares suspects dead whose time is over, forgets the long dead, and
+// returns the members that changed.
+func (t *Table) Tick(now time.Time) (changed []Member) {
+	for _, vm := range t.order {
+		r := t.rows[vm]
+		if r.member.State == Suspect && now.Sub(r.changed) >= SuspectTimeout {
+			t.put(r.member.WithState(Dead), now)
+			changed = append(changed, t.rows[vm].member)
+		}
+	}
+	t.bury(now)
+	return changed
+}
+
+func (t *Table) bury(now time.Time) {
+	t.order = slices.DeleteFunc(t.order, func(vm string) bool {
+		r := t.rows[vm]
+		if r.member.State != Dead || now.Sub(r.changed) < tombstone {
+			return false
+		}
+		t.buckets[bucketOf(vm)] ^= r.member.Hash()
+		delete(t.rows, vm)
+		t.generation++
+		return true
+	})
+}
+
+// Updates returns the claims to send along with an exchange.
+func (t *Table) Updates() []Member {
+	return t.updates.Take(maximumUpdates, len(t.rows))
+}
+
+// Partner chooses the member to exchange with next: mostly of the node's own
+// availability zone, then of its region, with a few links across. ok is false
+// if there is nobody.
+func (t *Table) Partner(random *rand.Rand) (partner Member, ok bool) {
+	own := t.Self()
+	dead := random.Float64() < deadContact
+	zone := random.Float64() < ownZone
+	region := random.Float64() < ownRegion
+	accept := func(m Member) bool {
+		switch {
+		case (m.State == Dead) != dead:
+			return false
+		case zone:
+			return m.AvailabilityZone == own.AvailabilityZone
+		case region:
+			return m.Region == own.Region
+		default:
+			return true
+		}
+	}
+	if partner, ok = t.choose(random, accept); ok {
+		return partner, true
+	}
+	return t.choose(random, func(m Member) bool { return m.State != Dead })
+}
+
+// choose returns a random member among those accepted. It starts at a random
+// place and takes the next one that fits.
+func (t *Table) choose(random *rand.Rand, accept func(Member) bool) (Member, bool) {
+	if len(t.order) == 0 {
+		return Member{}, false
+	}
+	start := random.IntN(len(t.order))
+	for i := range t.order {
+		candidate := t.rows[t.order[(start+i)%len(t.order)]].member
+		if accept(candidate) {
+			return candidate, true
+		}
+	}
+	return Member{}, false
+}
+
+// Helpers returns up to count alive members other than the given one, to reach
+// it through.
+func (t *Table) Helpers(random *rand.Rand, vm string, count int) []Member {
+	var helpers []Member
+	for range count {
+		helper, ok := t.choose(random, func(m Member) bool {
+			return m.VM != vm && m.State != Dead && m.State != Suspect && !slices.Contains(helpers, m)
+		})
+		if !ok {
+			break
+		}
+		helpers = append(helpers, helper)
+	}
+	return helpers
+}
