Load tool with both users' sizes; hedges that wait for a slot; robust latency

One slow reply of the long tail moved an upstream's average so far that it counted as slow and lost its slots in the capacity; a hedge that found no free slot at its moment was given up.

Change: latency averages are clipped, capacity comes from an unclipped mean of slot time by upstream, hedges wait for a slot ahead of less urgent work, the hedge delay is the 97th percentile and counts abandoned attempts.

Conclusion: hedging must not depend on the moment.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -1,11 +1,50 @@
 package cli
 
-import "github.com/pkg/errors"
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
 
+	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
+
+	"github.com/bronzereach/bronzereach/internal/gate"
+	"github.com/bronzereach/bronzereach/internal/load"
+)
+
+// runLoad puts a local system under a plan's load.
 func runLoad(arguments []string, streams Streams) (int, error) {
-	_, err := parseLoad(arguments, streams.Err)
+	options, err := parseLoad(arguments, streams.Err)
 	if err != nil {
 		return exitUsage, err
 	}
-	return exitFailed, errors.New("todo")
+	plan, err := load.ReadPlan(options.plan)
+	if err != nil {
+		return exitUsage, errors.WithMessage(errUsage, err.Error())
+	}
+	if options.seconds > 0 {
+		plan.Duration = time.Duration(options.seconds * float64(time.Second))
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	result, err := load.Run(ctx, load.Config{
+		Plan: plan,
+		Seed: options.seed,
+		Mode: gate.Mode(options.mode),
+		Log:  logr.Discard(),
+	})
+	if err != nil {
+		return exitFailed, err
+	}
+	if options.plot != "" {
+		if err := result.Plot(options.plot); err != nil {
+			return exitFailed, err
+		}
+	}
+	if options.json {
+		return exitDone, result.WriteJSON(streams.Out)
+	}
+	return exitDone, result.WriteTable(streams.Out)
 }
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -54,7 +54,7 @@
 	a.service.finish(a.position, outcome, result.took)
 	a.record(timeline.AttemptEnded, string(result.reason))
 	if reply != nil {
-		a.service.note(a.position, reply.State)
+		a.service.note(a.position, reply.Load)
 	}
 	a.work.results <- result
 }
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -87,7 +87,7 @@
 	if s.gates.config.Mode == Direct {
 		return
 	}
-	fractions := s.meter.Tick(now, float64(s.set.Capacity(now)), s.floors)
+	fractions := s.meter.Tick(now, s.set.Capacity(now), s.floors)
 	for rank := range fractions {
 		change := math.Abs(float64(fractions[rank] - s.admitted[rank]))
 		if change > admittedStep*float64(s.admitted[rank]) || fractions[rank] == 1 {
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -52,11 +52,13 @@
 	// ready is closed when the upstreams are known, anew for each acquisition.
 	ready chan struct{}
 
-	mu       sync.Mutex
-	role     role
-	floors   []float64
-	set      *replica.Set
-	queue    *queue.Queue[*work]
+	mu     sync.Mutex
+	role   role
+	floors []float64
+	set    *replica.Set
+	queue  *queue.Queue[*work]
+	// hedges is the work that waits for a second attempt.
+	hedges   []*work
 	meter    admission.Meter
 	delays   *replica.Delays
 	budgets  map[string]*budgets
--- a/internal/gate/work.go
+++ b/internal/gate/work.go
@@ -4,7 +4,6 @@
 	"context"
 	"time"
 
-	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/answer"
 	"github.com/bronzereach/bronzereach/pkg/document"
@@ -161,6 +160,7 @@
 	if s.role == acquiring {
 		return
 	}
+	s.pumpHedges(now)
 	for {
 		item, ok := s.queue.Peek()
 		if !ok {
@@ -247,8 +247,8 @@
 // collect waits for the attempts in progress. It returns a reply when one
 // succeeded or the time is over, and nil if all failed.
 func (s *service) collect(ctx, attemptCtx context.Context, w *work) *wire.SubReply {
-	hedge := s.hedgeTimer(w)
-	defer hedge.Stop()
+	h := &hedge{service: s, work: w, timer: s.hedgeTimer(w)}
+	defer h.stop()
 	for w.running > 0 {
 		select {
 		case result := <-w.results:
@@ -258,8 +258,10 @@
 			}
 			w.mayHaveRun = w.mayHaveRun || result.mayHaveRun
 			w.reason = result.reason
-		case <-hedge.C:
-			s.hedge(attemptCtx, w)
+		case <-h.timer.C:
+			h.ask()
+		case g := <-w.grant:
+			h.start(attemptCtx, g)
 		case <-ctx.Done():
 			w.mayHaveRun = true
 			w.reason = endReason(ctx)
@@ -269,51 +271,6 @@
 	return nil
 }
 
-// stopped is a timer that never fires.
-func stopped() *time.Timer {
-	timer := time.NewTimer(time.Hour)
-	timer.Stop()
-	return timer
-}
-
-func (s *service) hedgeTimer(w *work) *time.Timer {
-	if !w.kind.Repeat || s.gates.config.Mode == Direct {
-		return stopped()
-	}
-	s.mu.Lock()
-	delay, known := s.delays.Delay()
-	s.mu.Unlock()
-	if !known {
-		return stopped()
-	}
-	return time.NewTimer(delay)
-}
-
-// hedge starts a second attempt elsewhere if there is room and budget for it.
-func (s *service) hedge(ctx context.Context, w *work) {
-	now := time.Now()
-	s.mu.Lock()
-	position := -1
-	if s.queue.Len() == 0 && s.set.Spare(now) {
-		position = s.choose(now, w)
-	}
-	if position < 0 || !s.budgetsOf(w.kind).hedge.Spend() {
-		s.mu.Unlock()
-		return
-	}
-	s.set.Start(position, now)
-	s.mu.Unlock()
-	w.hedged = true
-	s.gates.count(func(m *Metrics) { m.Hedges++ })
-	s.gates.config.Recorder.Record(timeline.Event{
-		Name:      timeline.HedgeStarted,
-		RequestID: w.batch.GetRequestId(),
-		Service:   s.definition.Name,
-		Upstream:  s.definition.Upstreams[position],
-	})
-	s.begin(ctx, w, position)
-}
-
 // mayRetry decides whether work whose attempts all failed gets another one.
 func (s *service) mayRetry(ctx context.Context, w *work) bool {
 	if ctx.Err() != nil || w.attempts >= maximumAttempts || s.gates.config.Mode == Direct {
@@ -337,10 +294,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.set.Finish(position, now, outcome, took)
-	if took > 0 {
-		s.meter.Complete(took)
-	}
-	if outcome == replica.Succeeded {
+	if outcome == replica.Succeeded || outcome == replica.Abandoned {
 		s.delays.Add(took)
 	}
 	s.pump(now)
--- /dev/null
+++ b/internal/load/plot.go
@@ -0,0 +1,93 @@
+package load
+
+import (
+	"image/color"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/bronzereach/bronzereach/internal/util"
+	"github.com/bronzereach/bronzereach/pkg/answer"
+)
+
+// plotWindow is the width of one point of a plot.
+const plotWindow = 500 * time.Millisecond
+
+// Size of a plot.
+const (
+	plotWidth  = 9 * vg.Inch
+	plotHeight = 5 * vg.Inch
+)
+
+var rankColors = []color.Color{
+	color.RGBA{R: 200, A: 255},
+	color.RGBA{G: 120, A: 255},
+	color.RGBA{B: 200, A: 255},
+	color.RGBA{R: 120, G: 120, A: 255},
+}
+
+// Plot writes p99 latency (solid, milliseconds) and goodput (dashed, answers a
+// second) by rank over time. The ending of the name chooses the format.
+func (r *Result) Plot(path string) (err error) {
+	defer util.Annotate(&err, "plot %s", path)
+	p := plot.New()
+	p.Title.Text = "p99 in ms (solid) and answers a second (dashed), by rank"
+	p.X.Label.Text = "time in s"
+	p.Y.Min = 0
+	for rank, definition := range r.Config.Plan.Document.Ranks {
+		latency, goodput := r.series(rank)
+		if len(latency) == 0 {
+			continue
+		}
+		if err := addLine(p, definition.Name, rank, latency, false); err != nil {
+			return err
+		}
+		if err := addLine(p, "", rank, goodput, true); err != nil {
+			return err
+		}
+	}
+	return errors.WithStack(p.Save(plotWidth, plotHeight, path))
+}
+
+func addLine(p *plot.Plot, name string, rank int, points plotter.XYs, dashed bool) error {
+	line, err := plotter.NewLine(points)
+	if err != nil {
+		return errors.WithStack(err)
+	}
+	line.Color = rankColors[rank%len(rankColors)]
+	if dashed {
+		line.Dashes = []vg.Length{vg.Points(4), vg.Points(3)}
+	}
+	p.Add(line)
+	if name != "" {
+		p.Legend.Add(name, line)
+	}
+	return nil
+}
+
+// series returns p99 and goodput of a rank by window.
+func (r *Result) series(rank int) (latency, goodput plotter.XYs) {
+	windows := map[int][]float64{}
+	for _, sample := range r.Samples {
+		kind, found := r.Config.Plan.Document.Kind(sample.Kind)
+		if !found || kind.Rank != rank || sample.At < 0 || sample.Status == answer.NotRun || sample.Code != "" {
+			continue
+		}
+		window := int(sample.At / plotWindow)
+		windows[window] = append(windows[window], sample.Took.Seconds()*1000)
+	}
+	for window := range int(r.Config.Plan.Duration / plotWindow) {
+		at := (time.Duration(window) * plotWindow).Seconds()
+		values := windows[window]
+		goodput = append(goodput, plotter.XY{X: at, Y: float64(len(values)) / plotWindow.Seconds()})
+		if len(values) > 0 {
+			slices.Sort(values)
+			latency = append(latency, plotter.XY{X: at, Y: values[len(values)*99/100]})
+		}
+	}
+	return latency, goodput
+}
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -45,6 +45,8 @@
 	Contents func(service document.Service) standin.Contents
 	// ServiceTime draws how long an upstream takes; nil for no time.
 	ServiceTime func(service document.Service) func(*rand.Rand) time.Duration
+	// Latency is the time to an upstream, one way.
+	Latency time.Duration
 	// Limited makes the stand-ins hold to the document's slots and connections.
 	Limited bool
 	Nodes   int
@@ -142,6 +144,7 @@
 	config := standin.UpstreamConfig{
 		Address: loopback,
 		Index:   service.Index,
+		Latency: s.config.Latency,
 		Seed:    s.config.Seed*1000 + number,
 	}
 	if s.config.Limited {
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -34,7 +34,9 @@
 	ConnectionCost time.Duration
 	// ServiceTime draws how long a request takes; nil for no time.
 	ServiceTime func(random *rand.Rand) time.Duration
-	Seed        uint64
+	// Latency is added one way, in each direction.
+	Latency time.Duration
+	Seed    uint64
 }
 
 // Contents is what an upstream holds of one version of its index.
@@ -257,6 +259,7 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	sleep(r.Context(), u.config.Latency)
 	ctx, cancel := context.WithTimeout(r.Context(), time.Duration(request.RemainingMillis)*time.Millisecond)
 	defer cancel()
 	reply := upstream.Reply{
@@ -271,10 +274,12 @@
 		u.send(w, reply)
 		return
 	}
-	defer u.leave()
-	if !u.work(ctx, request) {
+	completed := u.work(ctx, request)
+	u.leave()
+	if !completed {
 		return
 	}
+	sleep(ctx, u.config.Latency)
 	reply.Outcome = upstream.Done
 	reply.Records = search(contents.Lines, request.Query)
 	u.send(w, reply)
@@ -338,7 +343,7 @@
 	if silent {
 		<-ctx.Done()
 		completed = false
-	} else if took > 0 {
+	} else {
 		completed = sleep(ctx, took)
 	}
 	u.mu.Lock()
@@ -360,6 +365,12 @@
 }
 
 func sleep(ctx context.Context, duration time.Duration) bool {
+	if duration <= 0 {
+		return true
+	}
+	if duration <= 0 {
+		return true
+	}
 	timer := time.NewTimer(duration)
 	defer timer.Stop()
 	select {
@@ -385,7 +396,7 @@
 	reply.End = &end
 	u.mu.Lock()
 	misbehave := u.misbehave
-	reply.State = &upstream.Load{InFlight: u.inFlight, Queued: u.queued, Leaving: u.leaving}
+	reply.Load = &upstream.Load{InFlight: u.inFlight, Queued: u.queued, Leaving: u.leaving}
 	u.mu.Unlock()
 	if misbehave.Swap {
 		reply.RequestID, reply.Attempt = "another-request", "another-attempt"
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -61,18 +61,12 @@
 	return fractions
 }
 
-// Meter learns one service's offered load and capacity. It is not safe for
-// concurrent use.
+// Meter learns one service's offered load. It is not safe for concurrent use.
 type Meter struct {
 	// arrived holds the weights that came since the last tick, by rank.
 	arrived Load
 	offered Load
-	// busy is the slot time used since the last tick, in seconds.
-	busy      float64
-	completed float64
-	// meanService is the average slot time of a request, in seconds.
-	meanService float64
-	last        time.Time
+	last    time.Time
 }
 
 // Arrive notes a request of the rank that stands for weight requests of the
@@ -81,52 +75,25 @@
 	m.arrived[rank] += weight
 }
 
-// Complete notes that a request held a slot for the time.
-func (m *Meter) Complete(held time.Duration) {
-	m.busy += held.Seconds()
-	m.completed++
-}
-
 // Tick averages what came since the last tick and returns what is to be
-// admitted, given the slots that the service's upstreams have now.
-func (m *Meter) Tick(now time.Time, slots float64, floors []float64) Fractions {
-	if m.last.IsZero() {
-		m.last = now
-		return Everything()
-	}
+// admitted, given the capacity in requests a second; 0 if it is not known.
+func (m *Meter) Tick(now time.Time, capacity float64, floors []float64) Fractions {
 	elapsed := now.Sub(m.last)
-	if elapsed <= 0 {
-		elapsed = time.Millisecond
-	}
+	first := m.last.IsZero()
 	m.last = now
+	if first || elapsed <= 0 {
+		return Everything()
+	}
 	keep := math.Exp(-elapsed.Seconds() / window.Seconds())
 	for rank := range m.offered {
 		rate := m.arrived[rank] / elapsed.Seconds()
 		m.offered[rank] = keep*m.offered[rank] + (1-keep)*rate
 		m.arrived[rank] = 0
 	}
-	m.learnService(elapsed)
-	if m.meanService == 0 {
+	if capacity == 0 {
 		return Everything()
 	}
-	return Divide(target*slots/m.meanService, m.offered, floors)
-}
-
-// serviceWindow is the time constant of the mean service time.
-const serviceWindow = 2 * time.Second
-
-func (m *Meter) learnService(elapsed time.Duration) {
-	if m.completed == 0 {
-		return
-	}
-	mean := m.busy / m.completed
-	m.busy, m.completed = 0, 0
-	if m.meanService == 0 {
-		m.meanService = mean
-		return
-	}
-	keep := math.Exp(-elapsed.Seconds() / serviceWindow.Seconds())
-	m.meanService = keep*m.meanService + (1-keep)*mean
+	return Divide(target*capacity, m.offered, floors)
 }
 
 // Offered returns the averaged offered load.
--- a/pkg/document/reader.go
+++ b/pkg/document/reader.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -293,8 +294,19 @@
 	return duration
 }
 
-// PercentOr returns an optional percentage such as "5%" as a fraction.
+// PercentOr returns an optional percentage such as "5%" as a fraction from 0
+// to 1.
 func (t *Table) PercentOr(key string, fallback float64) float64 {
+	fraction := t.FactorOr(key, fallback)
+	if fraction > 1 {
+		t.Problemf(key, "%s must be from 0%% to 100%%", key)
+		return fallback
+	}
+	return fraction
+}
+
+// FactorOr returns an optional percentage that may exceed 100%, as a factor.
+func (t *Table) FactorOr(key string, fallback float64) float64 {
 	if !t.Has(key) {
 		return fallback
 	}
@@ -308,8 +320,8 @@
 		t.Problemf(key, "%s: %q is not a percentage", key, text)
 		return fallback
 	}
-	if !(number >= 0 && number <= 100) {
-		t.Problemf(key, "%s must be from 0%% to 100%%", key)
+	if !(number >= 0) || math.IsInf(number, 0) {
+		t.Problemf(key, "%s must not be negative", key)
 		return fallback
 	}
 	return number / 100
--- a/pkg/replica/hedge.go
+++ b/pkg/replica/hedge.go
@@ -10,7 +10,7 @@
 const (
 	// hedgeQuantile is the percentile of latency after which an attempt counts
 	// as a straggler.
-	hedgeQuantile = 95
+	hedgeQuantile = 97
 	// hedgeWindows is the number of windows of hedgeWindow that are kept.
 	hedgeWindows = 3
 	hedgeWindow  = time.Second
@@ -35,7 +35,8 @@
 	return &Delays{histogram: hdrhistogram.NewWindowed(hedgeWindows, 1, longestLatency, 1)}
 }
 
-// Add notes the latency of a successful attempt.
+// Add notes the latency of an attempt that succeeded, or that lost against a
+// hedge after this time.
 func (d *Delays) Add(took time.Duration) {
 	// A value out of range is clamped, so recording can't fail.
 	_ = d.histogram.Current.RecordValue(min(max(1, took.Microseconds()), longestLatency))
@@ -71,6 +72,11 @@
 	b.tokens = min(budgetLimit, b.tokens+fraction)
 }
 
+// Refund gives back an extra attempt that was not made after all.
+func (b *Budget) Refund() {
+	b.tokens = min(budgetLimit, b.tokens+1)
+}
+
 // Spend takes one extra attempt out of the budget, if it is there.
 func (b *Budget) Spend() bool {
 	if b.tokens < 1 {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -16,6 +16,11 @@
 const (
 	// latencyWeight is the weight of the newest latency in the average.
 	latencyWeight = 0.15
+	// clip bounds how far one reply can move the average, as a multiple of it:
+	// a reply from the long tail doesn't make its upstream a slow one.
+	clip = 3.0
+	// holdWeight is the weight of the newest time in the mean slot time.
+	holdWeight = 0.02
 	// latencyMemory is the time after which an unused upstream's excess latency
 	// is forgotten to 1/e.
 	latencyMemory = 15 * time.Second
@@ -63,7 +68,10 @@
 	// reserved counts requests that another gate still has in progress there.
 	reserved int
 	// latency is the average time of an attempt in seconds; 0 when unknown.
-	latency  float64
+	latency float64
+	// hold is the mean time that a request holds a slot, in seconds; unlike
+	// latency it counts the long tail whole.
+	hold     float64
 	lastUsed time.Time
 	lastShed time.Time
 	failures int
@@ -216,11 +224,13 @@
 }
 
 func (u *upstream) learn(took time.Duration) {
+	seconds := took.Seconds()
 	if u.latency == 0 {
-		u.latency = took.Seconds()
+		u.latency, u.hold = seconds, seconds
 		return
 	}
-	u.latency += latencyWeight * (took.Seconds() - u.latency)
+	u.hold += holdWeight * (seconds - u.hold)
+	u.latency += latencyWeight * (min(seconds, clip*u.latency) - u.latency)
 }
 
 func (u *upstream) fail(now time.Time) {
@@ -290,28 +300,17 @@
 	s.median = latencies[(len(latencies)-1)/2]
 }
 
-// Capacity returns the slots of the upstreams that are usable and not slow.
-func (s *Set) Capacity(now time.Time) int {
-	slots := 0
+// Capacity returns the rate that the usable upstreams can take, in requests a
+// second; 0 while it is not known.
+func (s *Set) Capacity(now time.Time) float64 {
+	rate := 0.0
 	for i := range s.rows {
 		row := &s.rows[i]
-		if row.usable(now) && !s.slow(row, now) {
-			slots += int(row.limit)
+		if row.usable(now) && row.hold > 0 {
+			rate += float64(int(row.limit)) / row.hold
 		}
 	}
-	return slots
-}
-
-// Spare reports whether more than one usable upstream slot is free.
-func (s *Set) Spare(now time.Time) bool {
-	free := 0
-	for i := range s.rows {
-		row := &s.rows[i]
-		if row.usable(now) {
-			free += int(row.limit) - row.inFlight - row.reserved
-		}
-	}
-	return free > 1
+	return rate
 }
 
 // InFlight returns the attempts in progress at the position.
--- a/pkg/upstream/protocol.go
+++ b/pkg/upstream/protocol.go
@@ -72,8 +72,8 @@
 	// Scores is empty or as long as Records.
 	Scores []float64 `json:"scores,omitempty"`
 	Sums   []Sum     `json:"sums,omitempty"`
-	// State is the upstream's own view of its load, a hint.
-	State *Load `json:"load,omitempty"`
+	// Load is the upstream's own view of its load, a hint.
+	Load *Load `json:"load,omitempty"`
 	// End must equal the number of records. It is the last member, so that a
 	// body without it is not whole.
 	End *int `json:"end"`
