Proofs of truth with real processes; rescue of silent work; shedding replicas

Cause: the first tests with real processes behind toxiproxy found: work on a silent upstream waited for its deadline once the hedge budget was spent (1 of 40 answers incomplete); a replica that sheds at once attracted all work with its quick refusals until retries ran out; budgets began empty, so the first failures after a start were not retried.

Change: a second attempt out of the retry budget after 8 hedge delays, attempts that long count as failures of their upstream; a growing pause after sheds; the retry budget begins full.

Conclusion: refusals are load information too.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -86,7 +86,7 @@
 		result.reason = answer.CodeUpstreamFailed
 		if ctx.Err() != nil {
 			result.reason = endReason(ctx)
-			return replica.Abandoned
+			return a.service.abandoned(result.took)
 		}
 		return replica.Failed
 	}
@@ -117,6 +117,16 @@
 	return outcomeOf(reply.Outcome)
 }
 
+// abandoned tells an attempt that was given up from one that was silent.
+func (s *service) abandoned(took time.Duration) replica.Outcome {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if took >= s.rescueAfter() {
+		return replica.Failed
+	}
+	return replica.Abandoned
+}
+
 func (s *service) lose(position int, version uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/gate/hedge.go
+++ b/internal/gate/hedge.go
@@ -15,33 +15,63 @@
 	service *service
 	work    *work
 	timer   *time.Timer
+	// rescue is true once the timer stands for a rescue.
+	rescue bool
+	asked  bool
 }
 
-// hedgeTimer fires when an attempt that starts now has become a straggler.
-func (s *service) hedgeTimer(w *work) *time.Timer {
+// Constants of the rescue of work that makes no progress at all.
+const (
+	// rescueFactor is how many hedge delays pass before a rescue.
+	rescueFactor = 8
+	// earliestRescue is the shortest time before a rescue, and the time while
+	// no delay is known yet.
+	earliestRescue = 200 * time.Millisecond
+)
+
+// rescueAfter is the time after which an attempt counts as silent: its
+// connection may be dead, or its upstream. The service is locked.
+func (s *service) rescueAfter() time.Duration {
+	delay, known := s.delays.Delay()
+	if !known {
+		return earliestRescue
+	}
+	return max(earliestRescue, rescueFactor*delay)
+}
+
+// newHedge arms the timer for work whose first attempt starts now.
+func (s *service) newHedge(w *work) *hedge {
 	s.mu.Lock()
 	delay, known := s.delays.Delay()
+	if !known {
+		delay = s.rescueAfter()
+	}
 	s.mu.Unlock()
-	if known && w.kind.Repeat && s.gates.config.Mode != Direct {
-		return time.NewTimer(delay)
+	h := &hedge{service: s, work: w, rescue: !known, timer: time.NewTimer(delay)}
+	if !w.kind.Repeat || s.gates.config.Mode == Direct {
+		h.timer.Stop()
 	}
-	never := time.NewTimer(time.Hour)
-	never.Stop()
-	return never
+	return h
 }
 
 // ask queues the hedge if its budget allows it and no work of its own rank or
-// a more urgent one waits: slots are scarce then.
+// a more urgent one waits: slots are scarce then. A rescue is paid from the
+// budget of retries, since its first attempt is as good as failed.
 func (h *hedge) ask() {
 	s, w := h.service, h.work
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if head, waiting := s.queue.Peek(); waiting && head.Rank <= w.kind.Rank {
-		return
-	}
-	if !s.budgetsOf(w.kind).hedge.Spend() {
+	if !h.rescue {
+		h.rescue = true
+		h.timer.Reset(s.rescueAfter())
+		head, waiting := s.queue.Peek()
+		if waiting && head.Rank <= w.kind.Rank || !s.budgetsOf(w.kind).hedge.Spend() {
+			return
+		}
+	} else if h.asked || w.hedged || !s.budgetsOf(w.kind).retry.Spend() {
 		return
 	}
+	h.asked = true
 	s.hedges = append(s.hedges, w)
 	s.pump(time.Now())
 }
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -287,7 +287,7 @@
 func (s *service) budgetsOf(kind document.Kind) *budgets {
 	b, found := s.budgets[kind.Name]
 	if !found {
-		b = &budgets{}
+		b = &budgets{retry: replica.FullBudget()}
 		s.budgets[kind.Name] = b
 	}
 	return b
--- a/internal/gate/work.go
+++ b/internal/gate/work.go
@@ -247,7 +247,7 @@
 // collect waits for the attempts in progress. It returns a reply when one
 // succeeded or the time is over, and nil if all failed.
 func (s *service) collect(ctx, attemptCtx context.Context, w *work) *wire.SubReply {
-	h := &hedge{service: s, work: w, timer: s.hedgeTimer(w)}
+	h := s.newHedge(w)
 	defer h.stop()
 	for w.running > 0 {
 		select {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -97,18 +97,28 @@
 }
 
 func (n *Node) listen() (err error) {
-	n.callers, err = net.Listen("tcp", n.options.CallerAddress)
+	n.callers, n.options.CallerAddress, err = listen(n.options.CallerListen, n.options.CallerAddress)
 	if err != nil {
-		return errors.WithStack(err)
+		return err
 	}
-	n.peers, err = net.Listen("tcp", n.options.PeerAddress)
+	n.peers, n.options.PeerAddress, err = listen(n.options.PeerListen, n.options.PeerAddress)
 	if err != nil {
 		_ = n.callers.Close()
-		return errors.WithStack(err)
 	}
-	n.options.CallerAddress = n.callers.Addr().String()
-	n.options.PeerAddress = n.peers.Addr().String()
-	return nil
+	return err
+}
+
+// listen opens a listener and returns the address to name to others.
+func listen(at, named string) (listener net.Listener, address string, err error) {
+	if at != "" {
+		listener, err = net.Listen("tcp", at)
+		return listener, named, errors.WithStack(err)
+	}
+	listener, err = net.Listen("tcp", named)
+	if err != nil {
+		return nil, "", errors.WithStack(err)
+	}
+	return listener, listener.Addr().String(), nil
 }
 
 func (n *Node) loadKeys() (err error) {
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -17,10 +17,13 @@
 	VM               string
 	AvailabilityZone string
 	Region           string
-	// CallerAddress and PeerAddress are host:port; the node listens there and
-	// names them to others.
+	// CallerAddress and PeerAddress are host:port, as named to others.
 	CallerAddress string
 	PeerAddress   string
+	// CallerListen and PeerListen are where the node listens; empty for the
+	// addresses that it names to others.
+	CallerListen string
+	PeerListen   string
 	// Platform is the base URL of the platform.
 	Platform string
 	// Environment is "production", or another name for a trial environment.
@@ -70,6 +73,8 @@
 	options.Region = root.TextOr("region", options.Region)
 	options.CallerAddress = readAddress(root, "callerAddress")
 	options.PeerAddress = readAddress(root, "peerAddress")
+	options.CallerListen = root.TextOr("callerListen", "")
+	options.PeerListen = root.TextOr("peerListen", "")
 	options.Platform = root.Text("platform")
 	options.Environment = root.TextOr("environment", options.Environment)
 	options.Peers = root.TextsOr("peers")
--- /dev/null
+++ b/internal/proof/cluster_test.go
@@ -0,0 +1,481 @@
+// Package proof holds the tests that run real processes against stand-ins and
+// behind a fault-injecting proxy, and check what must always hold.
+package proof
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/Shopify/toxiproxy"
+	"github.com/sirupsen/logrus"
+
+	"github.com/bronzereach/bronzereach/internal/node"
+	"github.com/bronzereach/bronzereach/internal/platform"
+	"github.com/bronzereach/bronzereach/internal/promotion"
+	"github.com/bronzereach/bronzereach/internal/standin"
+	"github.com/bronzereach/bronzereach/pkg/answer"
+	"github.com/bronzereach/bronzereach/pkg/caller"
+	"github.com/bronzereach/bronzereach/pkg/document"
+	"github.com/bronzereach/bronzereach/pkg/query"
+	"github.com/bronzereach/bronzereach/pkg/snapshot"
+)
+
+// program is the path of the program under test, built once.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(runTests(m))
+}
+
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "bronzereach")
+	if err != nil {
+		panic(err)
+	}
+	defer os.RemoveAll(folder)
+	logrus.SetOutput(io.Discard)
+	program = filepath.Join(folder, "bronzereach")
+	build := exec.Command("go", "build", "-o", program, "github.com/bronzereach/bronzereach")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	return m.Run()
+}
+
+// shards is the number of services of the test's index.
+const shards = 4
+
+// process is one node under test.
+type process struct {
+	vm      string
+	command *exec.Cmd
+	caller  string
+	peer    string
+	// proxy stands between the other nodes and this one's peer address.
+	proxy  *toxiproxy.Proxy
+	stderr *bytes.Buffer
+	exited chan struct{}
+}
+
+// cluster is stand-ins and nodes as processes.
+type cluster struct {
+	t         *testing.T
+	platform  *standin.Platform
+	server    *httptest.Server
+	upstreams map[string][]*standin.Upstream
+	nodes     []*process
+	folder    string
+	text      string
+}
+
+// records are the lines that the index holds in a version. Each names its
+// version, so that a mix of versions shows.
+func records(version, count int) [][]byte {
+	lines := make([][]byte, count)
+	for i := range lines {
+		lines[i] = fmt.Appendf(nil, "record %d of version %d", i, version)
+	}
+	return lines
+}
+
+const recordCount = 200
+
+func newCluster(t *testing.T, nodes int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, platform: standin.NewPlatform(1), upstreams: map[string][]*standin.Upstream{}, folder: t.TempDir()}
+	c.server = httptest.NewServer(c.platform)
+	t.Cleanup(c.server.Close)
+	var text strings.Builder
+	text.WriteString(`name = "proof"
+[[rank]]
+name = "urgent"
+[[rank]]
+name = "later"
+floor = "10%"
+[[index]]
+name = "records"
+slots = 4
+connections = 24
+[[kind]]
+name = "search"
+rank = "urgent"
+index = "records"
+deadline = "4s"
+[[kind]]
+name = "order"
+rank = "urgent"
+pool = "orders"
+deadline = "4s"
+repeat = false
+[[check]]
+kind = "search"
+query = "record"
+minimumRecords = 1
+`)
+	for shard := range shards {
+		fmt.Fprintf(&text, "[[service]]\nname = \"records-%d\"\nindex = \"records\"\nupstreams = [%s]\n", shard,
+			c.startService(fmt.Sprintf("records-%d", shard), 3))
+	}
+	fmt.Fprintf(&text, "[[pool]]\nname = \"orders\"\nslots = 4\nconnections = 24\nupstreams = [%s]\n", c.startService("orders", 2))
+	c.text = text.String()
+	c.hold(1, standin.Shard(records(1, recordCount), shards))
+	c.putInForce(c.text)
+	for i := range nodes {
+		c.start(fmt.Sprintf("vm-%d", i+1))
+	}
+	c.awaitReady()
+	return c
+}
+
+func (c *cluster) startService(name string, replicas int) string {
+	var addresses []string
+	for replica := range replicas {
+		index := "records"
+		if name == "orders" {
+			index = ""
+		}
+		u, err := standin.StartUpstream(standin.UpstreamConfig{Address: "127.0.0.1:0", Index: index, Slots: 4, Queue: 4, Seed: uint64(replica)})
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		c.t.Cleanup(u.Close)
+		c.upstreams[name] = append(c.upstreams[name], u)
+		addresses = append(addresses, fmt.Sprintf("%q", u.Address()))
+	}
+	return strings.Join(addresses, ", ")
+}
+
+// hold gives each service its part of a version of the index.
+func (c *cluster) hold(version uint64, contents []standin.Contents) {
+	for shard := range shards {
+		for _, u := range c.upstreams[fmt.Sprintf("records-%d", shard)] {
+			u.Hold(version, contents[shard])
+		}
+	}
+}
+
+func (c *cluster) drop(version uint64) {
+	for shard := range shards {
+		for _, u := range c.upstreams[fmt.Sprintf("records-%d", shard)] {
+			u.Drop(version)
+		}
+	}
+}
+
+func (c *cluster) putInForce(text string) {
+	value, err := json.Marshal(promotion.Record{Promotion: "first", Digest: document.Digest([]byte(text)), Text: text})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	c.platform.Store(promotion.Key("proof"), value)
+}
+
+// start runs a node as a process of its own and lists it at the platform.
+func (c *cluster) start(vm string) *process {
+	c.t.Helper()
+	p := &process{vm: vm, stderr: &bytes.Buffer{}, exited: make(chan struct{})}
+	p.caller, p.peer = freeAddress(c.t), freeAddress(c.t)
+	p.proxy = toxiproxy.NewProxy()
+	p.proxy.Name, p.proxy.Listen, p.proxy.Upstream = vm, "127.0.0.1:0", p.peer
+	if err := p.proxy.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	c.t.Cleanup(p.proxy.Stop)
+	var peers []string
+	for _, other := range c.nodes {
+		peers = append(peers, fmt.Sprintf("%q", other.proxy.Listen))
+	}
+	settings := fmt.Sprintf(`vm = %q
+availabilityZone = "zone-%d"
+callerAddress = %q
+peerAddress = %q
+peerListen = %q
+platform = %q
+environment = "proof"
+peers = [%s]
+`, vm, len(c.nodes)%2, p.caller, p.proxy.Listen, p.peer, c.server.URL, strings.Join(peers, ", "))
+	file := filepath.Join(c.folder, vm+".toml")
+	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+	p.command = exec.Command(program, "node", "-settings", file)
+	p.command.Stderr = p.stderr
+	if err := p.command.Start(); err != nil {
+		c.t.Fatal(err)
+	}
+	go p.loop()
+	c.t.Cleanup(p.kill)
+	c.nodes = append(c.nodes, p)
+	c.list()
+	return p
+}
+
+func (p *process) loop() {
+	_ = p.command.Wait()
+	close(p.exited)
+}
+
+func (p *process) kill() {
+	_ = p.command.Process.Signal(syscall.SIGCONT)
+	_ = p.command.Process.Kill()
+	<-p.exited
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.command.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (p *process) alive() bool {
+	select {
+	case <-p.exited:
+		return false
+	default:
+		return true
+	}
+}
+
+// list names the running nodes in the platform's list of VMs.
+func (c *cluster) list() {
+	var vms []platform.VM
+	for _, p := range c.nodes {
+		if p.alive() {
+			vms = append(vms, platform.VM{Name: p.vm, AvailabilityZone: "zone", Address: p.proxy.Listen})
+		}
+	}
+	c.platform.SetVMs(vms)
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// await waits for a condition and fails the test if it does not come.
+func (c *cluster) await(what string, condition func() bool) {
+	c.t.Helper()
+	deadline := time.Now().Add(30 * time.Second)
+	for !condition() {
+		if time.Now().After(deadline) {
+			for _, p := range c.nodes {
+				c.t.Logf("%s:\n%s", p.vm, tail(p.stderr.String()))
+			}
+			c.t.Fatalf("waited in vain: %s", what)
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+}
+
+func tail(text string) string {
+	return text[max(0, len(text)-4000):]
+}
+
+func (c *cluster) status(p *process) (status node.Status, ok bool) {
+	response, err := http.Get("http://" + p.caller + node.StatusPath)
+	if err != nil {
+		return status, false
+	}
+	defer response.Body.Close()
+	return status, json.NewDecoder(response.Body).Decode(&status) == nil
+}
+
+// running lists the nodes whose processes live.
+func (c *cluster) running() []*process {
+	var running []*process
+	for _, p := range c.nodes {
+		if p.alive() {
+			running = append(running, p)
+		}
+	}
+	return running
+}
+
+// awaitReady waits until the running nodes agree that they are ready and hold
+// all gates between them.
+func (c *cluster) awaitReady() {
+	c.t.Helper()
+	c.await("all nodes ready and every service has a gate", func() bool {
+		gates := 0
+		for _, p := range c.running() {
+			status, ok := c.status(p)
+			ready := 0
+			for _, m := range status.Members {
+				if m.State == "ready" {
+					ready++
+				}
+			}
+			if !ok || status.State != "ready" || ready != len(c.running()) {
+				return false
+			}
+			gates += len(status.Gates)
+		}
+		return gates == shards+1
+	})
+}
+
+// client returns a caller that knows only the given node, and does not follow
+// addresses elsewhere.
+func (c *cluster) ask(p *process, request query.Request) (*answer.Answer, error) {
+	body, err := json.Marshal(request)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	post, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+p.caller+"/v1/query", bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	response, err := http.DefaultClient.Do(post)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	a := &answer.Answer{}
+	return a, json.NewDecoder(response.Body).Decode(a)
+}
+
+func (c *cluster) mustAsk(p *process, request query.Request) *answer.Answer {
+	c.t.Helper()
+	a, err := c.ask(p, request)
+	if err != nil {
+		c.t.Fatalf("%s: %v\n%s", p.vm, err, tail(p.stderr.String()))
+	}
+	return a
+}
+
+func (c *cluster) ticket(p *process) string {
+	c.t.Helper()
+	client := caller.New(caller.Config{Seeds: []string{p.caller}})
+	response, err := http.Get("http://" + p.caller + "/v1/tickets")
+	if err != nil {
+		c.t.Fatal(err, client)
+	}
+	defer response.Body.Close()
+	var batch struct {
+		Tickets []string `json:"tickets"`
+	}
+	if err := json.NewDecoder(response.Body).Decode(&batch); err != nil {
+		c.t.Fatal(err)
+	}
+	return batch.Tickets[0]
+}
+
+// executions counts how often the upstreams of a service ran a query.
+func (c *cluster) executions(service, text string) int {
+	count := 0
+	for _, u := range c.upstreams[service] {
+		for _, execution := range u.Executions() {
+			if execution.Query == text {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// checkAnswer checks that an answer is true: one version, no record twice, and
+// its coverage equal to what it holds.
+func checkAnswer(t *testing.T, a *answer.Answer) {
+	t.Helper()
+	seen := map[string]bool{}
+	marker := fmt.Sprintf("of version %d", a.Snapshot.Version)
+	for _, record := range a.Records {
+		if !strings.HasSuffix(string(record), marker) {
+			t.Errorf("record %q in an answer of version %d", record, a.Snapshot.Version)
+		}
+		if seen[string(record)] {
+			t.Errorf("record %q twice", record)
+		}
+		seen[string(record)] = true
+	}
+	var ranges []snapshot.Range
+	for _, included := range a.Coverage.Included {
+		ranges = append(ranges, included.Ranges...)
+	}
+	fraction, tiled := snapshot.Measure(ranges)
+	if a.Coverage.Fraction != fraction || a.Coverage.Complete != tiled {
+		t.Errorf("coverage %v complete %t, its ranges say %v %t", a.Coverage.Fraction, a.Coverage.Complete, fraction, tiled)
+	}
+	if a.Coverage.Complete && a.Error == nil && len(a.Records) != recordCount {
+		t.Errorf("%d records in a complete answer, want %d", len(a.Records), recordCount)
+	}
+}
+
+// storm asks queries from several goroutines until stopped, and keeps every
+// answer.
+type storm struct {
+	cluster *cluster
+	stop    chan struct{}
+	group   sync.WaitGroup
+	mu      sync.Mutex
+	answers []*answer.Answer
+	errors  []error
+}
+
+// stormWorkers is the number of callers of a storm.
+const stormWorkers = 6
+
+func (c *cluster) storm(client *caller.Client) *storm {
+	s := &storm{cluster: c, stop: make(chan struct{})}
+	for range stormWorkers {
+		s.group.Add(1)
+		go s.loop(client)
+	}
+	return s
+}
+
+func (s *storm) loop(client *caller.Client) {
+	defer s.group.Done()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(5 * time.Millisecond):
+		}
+		a, err := client.Query(context.Background(), query.Request{Kind: "search", Query: query.Text("record")})
+		s.mu.Lock()
+		if err != nil {
+			s.errors = append(s.errors, err)
+		} else {
+			s.answers = append(s.answers, a)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// end stops the storm and returns what came of it.
+func (s *storm) end() ([]*answer.Answer, []error) {
+	close(s.stop)
+	s.group.Wait()
+	return s.answers, s.errors
+}
+
+func (c *cluster) client() *caller.Client {
+	var seeds []string
+	for _, p := range c.running() {
+		seeds = append(seeds, p.caller)
+	}
+	return caller.New(caller.Config{Seeds: seeds})
+}
--- a/pkg/replica/hedge.go
+++ b/pkg/replica/hedge.go
@@ -67,6 +67,11 @@
 	tokens float64
 }
 
+// FullBudget returns a budget with all that it can save up.
+func FullBudget() Budget {
+	return Budget{tokens: budgetLimit}
+}
+
 // Earn adds a request's share to the budget.
 func (b *Budget) Earn(fraction float64) {
 	b.tokens = min(budgetLimit, b.tokens+fraction)
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -33,6 +33,10 @@
 	shedFactor = 0.7
 	// shedInterval is the shortest time between two such cuts.
 	shedInterval = 100 * time.Millisecond
+	// firstShedPause and longestShedPause bound the time that an upstream which
+	// sheds gets no new attempts, so that its quick refusals don't attract work.
+	firstShedPause   = 20 * time.Millisecond
+	longestShedPause = time.Second
 	// recovery is what a success adds to a limit below its slots.
 	recovery = 0.05
 	// failuresToDown is the number of failures in a row that take an upstream out.
@@ -75,6 +79,8 @@
 	lastUsed time.Time
 	lastShed time.Time
 	failures int
+	// sheds counts refusals since the last success.
+	sheds int
 	// downUntil is when a failed upstream is tried again.
 	downUntil time.Time
 	// leaving is sticky for the incarnation that leaves.
@@ -204,7 +210,7 @@
 	row.inFlight--
 	switch outcome {
 	case Succeeded:
-		row.failures = 0
+		row.failures, row.sheds = 0, 0
 		row.learn(took)
 		row.limit = min(float64(s.slots), row.limit+recovery*float64(s.slots))
 	case Abandoned:
@@ -213,10 +219,7 @@
 			row.learn(took)
 		}
 	case Refused:
-		if now.Sub(row.lastShed) >= shedInterval {
-			row.lastShed = now
-			row.limit = max(1, row.limit*shedFactor)
-		}
+		row.shed(now)
 	case Failed:
 		row.fail(now)
 	case Declined:
@@ -233,6 +236,18 @@
 	u.latency += latencyWeight * (min(seconds, clip*u.latency) - u.latency)
 }
 
+func (u *upstream) shed(now time.Time) {
+	if now.Sub(u.lastShed) >= shedInterval {
+		u.lastShed = now
+		u.limit = max(1, u.limit*shedFactor)
+	}
+	pause := min(firstShedPause<<min(u.sheds, 10), longestShedPause)
+	u.sheds++
+	if until := now.Add(pause); until.After(u.downUntil) {
+		u.downUntil = until
+	}
+}
+
 func (u *upstream) fail(now time.Time) {
 	u.failures++
 	if u.failures < failuresToDown {
