Proofs of acting together: kill, pause, stop, leave, silent links, promotions, outages

Cause: what must hold although VMs, the store and connections fail was built but not shown. The tests found: a node that ended in peace left with exit code 1 (its peer listener's close was taken for a failure); calls open on a link that another link had replaced were not watched for silence; a shard whose only other member was full had no standby, and its work went nowhere until its deadline; a standby that finds the gate alive sent work round in circles.

Change: end of the listener after the context is no failure; all links are watched; the standby ignores the load bound; a standby that can reach the gate relays to it, and an entry goes back to a gate that a standby has found alive.

Conclusion: two links between the same nodes are the usual case, not an odd one.

--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -263,6 +263,8 @@
 		s.mayHaveRun = true
 	}
 	if reason == answer.CodeNotGate {
+		// A standby that declines has found the gate alive.
+		delete(s.lostGates, result.service)
 		s.again = append(s.again, result.service)
 		return false
 	}
@@ -336,7 +338,11 @@
 	if gate == "" || gate != s.lostGates[service] || !s.kind.Repeat {
 		return askTarget{vm: gate}
 	}
-	return askTarget{vm: view.Assignment.Standby(service), lost: gate}
+	standby := view.Assignment.Standby(service)
+	if standby == "" {
+		return askTarget{vm: gate}
+	}
+	return askTarget{vm: standby, lost: gate}
 }
 
 // ask is one batch on its way to one gate and back.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -41,20 +41,40 @@
 		Name:      timeline.BatchReceived,
 		RequestID: batch.GetRequestId(),
 	})
+	if lost := batch.GetLostGate(); lost != "" && !n.isLost(ctx, lost) {
+		n.relay(ctx, batch, lost, send)
+		return
+	}
 	n.serveBatch(ctx, batch, func(sub *wire.SubReply) {
 		reply(send, &wire.Reply{Body: &wire.Reply_SubReply{SubReply: sub}})
 	})
 }
 
+// relay hands a batch to a gate that its entry can't reach but this node can,
+// and the replies back. If it breaks off, so does the entry's stream.
+func (n *Node) relay(ctx context.Context, batch *wire.Batch, gate string, send func(*wire.Reply) error) {
+	batch.LostGate = ""
+	m := n.View().Members[gate]
+	stream, err := n.network.Call(ctx, gate, m.PeerAddress, &wire.Call{Body: &wire.Call_Batch{Batch: batch}})
+	if err != nil {
+		n.control.lost(gate)
+		return
+	}
+	defer stream.Close()
+	for range batch.GetSubRequests() {
+		message, err := stream.Receive()
+		if err != nil || send(message) != nil {
+			return
+		}
+	}
+}
+
 // serveBatch does a batch on this node. As a standby it first makes sure that
 // the gate is gone.
 func (n *Node) serveBatch(ctx context.Context, batch *wire.Batch, send func(*wire.SubReply)) {
-	standby := false
-	if lost := batch.GetLostGate(); lost != "" {
-		standby = n.isLost(ctx, lost)
-		if !standby {
-			batch.LostGate = ""
-		}
+	standby := batch.GetLostGate() != ""
+	if standby && !n.isLost(ctx, batch.GetLostGate()) {
+		standby, batch.LostGate = false, ""
 	}
 	n.gates.Serve(ctx, batch, standby, send)
 }
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -63,11 +63,13 @@
 	Traffic Traffic
 
 	mu sync.Mutex
-	// links holds at most one link a VM.
+	// links holds the link to use for each VM. Both ends may have dialled, so
+	// calls may still be open on others.
 	links map[string]*link
 	// dialling holds a channel for each VM being dialled, closed at the end.
 	dialling map[string]chan struct{}
-	accepted util.Set[*link]
+	// all holds every open link.
+	all util.Set[*link]
 }
 
 // NewNetwork returns a network without links.
@@ -76,7 +78,7 @@
 		config:   config,
 		links:    map[string]*link{},
 		dialling: map[string]chan struct{}{},
-		accepted: util.NewSet[*link](),
+		all:      util.NewSet[*link](),
 	}
 }
 
@@ -85,6 +87,9 @@
 	context.AfterFunc(ctx, func() { _ = listener.Close() })
 	for {
 		conn, err := listener.Accept()
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
 		if err != nil {
 			return errors.WithStack(err)
 		}
@@ -102,7 +107,7 @@
 		return
 	}
 	n.mu.Lock()
-	n.accepted.Add(l)
+	n.all.Add(l)
 	if _, found := n.links[l.vm]; !found {
 		n.links[l.vm] = l
 	}
@@ -130,7 +135,7 @@
 	l.close()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	delete(n.accepted, l)
+	delete(n.all, l)
 	if n.links[l.vm] == l {
 		delete(n.links, l.vm)
 	}
@@ -238,6 +243,7 @@
 		delete(n.dialling, vm)
 		if err == nil {
 			n.links[vm] = l
+			n.all.Add(l)
 		}
 		n.mu.Unlock()
 		close(wait)
@@ -273,12 +279,9 @@
 		return "", err
 	}
 	n.mu.Lock()
-	old, found := n.links[l.vm]
 	n.links[l.vm] = l
+	n.all.Add(l)
 	n.mu.Unlock()
-	if found {
-		old.close()
-	}
 	go n.loop(context.WithoutCancel(ctx), l)
 	return l.vm, nil
 }
@@ -327,7 +330,7 @@
 func (n *Network) check(now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, l := range n.links {
+	for l := range n.all {
 		l.check(now)
 	}
 }
@@ -335,10 +338,7 @@
 func (n *Network) closeAll() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for _, l := range n.links {
-		l.close()
-	}
-	for l := range n.accepted {
+	for l := range n.all {
 		l.close()
 	}
 }
--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -66,9 +66,11 @@
 	caller  string
 	peer    string
 	// proxy stands between the other nodes and this one's peer address.
-	proxy  *toxiproxy.Proxy
-	stderr *bytes.Buffer
-	exited chan struct{}
+	proxy *toxiproxy.Proxy
+	// freezer stands between the proxy and the node.
+	freezer *freezer
+	stderr  *bytes.Buffer
+	exited  chan struct{}
 }
 
 // cluster is stand-ins and nodes as processes.
@@ -189,8 +191,9 @@
 	c.t.Helper()
 	p := &process{vm: vm, stderr: &bytes.Buffer{}, exited: make(chan struct{})}
 	p.caller, p.peer = freeAddress(c.t), freeAddress(c.t)
+	p.freezer = newFreezer(c.t, p.peer)
 	p.proxy = toxiproxy.NewProxy()
-	p.proxy.Name, p.proxy.Listen, p.proxy.Upstream = vm, "127.0.0.1:0", p.peer
+	p.proxy.Name, p.proxy.Listen, p.proxy.Upstream = vm, "127.0.0.1:0", p.freezer.listener.Addr().String()
 	if err := p.proxy.Start(); err != nil {
 		c.t.Fatal(err)
 	}
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -48,6 +48,8 @@
 	// changed is closed and replaced with every write.
 	changed chan struct{}
 	calls   int
+	// failAfter is the key whose next write is followed by an outage.
+	failAfter string
 }
 
 // NewPlatform returns an empty platform whose chances are drawn from the seed.
@@ -66,6 +68,14 @@
 	p.faults = faults
 }
 
+// FailAfterWrite makes the next write of the key the last call before an
+// outage.
+func (p *Platform) FailAfterWrite(key string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.failAfter = key
+}
+
 // SetVMs replaces the list of VMs.
 func (p *Platform) SetVMs(vms []platform.VM) {
 	p.mu.Lock()
@@ -205,5 +215,8 @@
 		return
 	}
 	version := p.write(key, value)
+	if key == p.failAfter {
+		p.faults.Outage = true
+	}
 	w.Header().Set(platform.VersionHeader, strconv.FormatUint(version, 10))
 }
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -87,6 +87,7 @@
 	contents   map[uint64]Contents
 	misbehave  Misbehaviour
 	leaving    bool
+	announced  bool
 	queued     int
 	inFlight   int
 	peakFlight int
@@ -164,6 +165,14 @@
 	u.leaving = true
 }
 
+// AnnounceLeaving makes the upstream's state say that it leaves, while it goes
+// on to serve and to call itself healthy.
+func (u *Upstream) AnnounceLeaving() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.announced = true
+}
+
 // Restart gives the upstream a new incarnation that is not leaving.
 func (u *Upstream) Restart() {
 	u.mu.Lock()
@@ -235,7 +244,7 @@
 		Index:       u.config.Index,
 		Incarnation: strconv.Itoa(u.incarnation),
 		Healthy:     !u.misbehave.Unhealthy,
-		Load:        upstream.Load{InFlight: u.inFlight, Queued: u.queued, Leaving: u.leaving},
+		Load:        upstream.Load{InFlight: u.inFlight, Queued: u.queued, Leaving: u.leaving || u.announced},
 	}
 	for number, contents := range u.contents {
 		state.Versions = append(state.Versions, upstream.Version{Number: number, Ranges: contents.Ranges})
--- a/pkg/assignment/assignment.go
+++ b/pkg/assignment/assignment.go
@@ -74,23 +74,39 @@
 	return t
 }
 
-// pick returns the two members with the highest scores that have room.
-func pick(service uint64, members []uint64, loads []int32, bound int32) (first, second int32) {
-	first, second = None, None
-	var firstScore, secondScore uint64
+// pick returns the member with the highest score that has room, and the one
+// with the highest score of all others: the load bound is no reason to have no
+// standby.
+func pick(service uint64, members []uint64, loads []int32, bound int32) (gate, standby int32) {
+	gate = None
+	var top, second scored
+	var gateScore uint64
 	for i, member := range members {
-		score := mix(service, member)
-		if score <= secondScore && second != None || loads[i] >= bound {
-			continue
+		score := mix(service, member) | 1
+		candidate := scored{position: int32(i), score: score}
+		if score > top.score {
+			top, second = candidate, top
+		} else if score > second.score {
+			second = candidate
 		}
-		if first == None || score > firstScore {
-			second, secondScore = first, firstScore
-			first, firstScore = int32(i), score
-			continue
+		if score > gateScore && loads[i] < bound {
+			gate, gateScore = int32(i), score
 		}
-		second, secondScore = int32(i), score
 	}
-	return first, second
+	switch {
+	case top.score != 0 && top.position != gate:
+		return gate, top.position
+	case second.score != 0:
+		return gate, second.position
+	default:
+		return gate, None
+	}
+}
+
+// scored is a member with its score for a service; a score of 0 is no member.
+type scored struct {
+	position int32
+	score    uint64
 }
 
 // mix combines two hashes into a score.
