Control costs: flat ticks, doubt in oneself, time to refute that grows with members

Cause: slopes with real processes. Looking at every member on each tick would not be flat at 2,900; at 200 processes with all links through the test's own proxies the machine was full (load 49 on 6 cores) and nodes declared each other dead in a storm (145 of 174 seen dead by one node) that kept itself going.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -24,9 +24,13 @@
 	controlInterval = 50 * time.Millisecond
 	gossipInterval  = 250 * time.Millisecond
 	gateInterval    = 100 * time.Millisecond
+	// confirmInterval is the time between two looks at who has been heard.
+	confirmInterval = 500 * time.Millisecond
 	// pauseLimit is the gap between two ticks after which the process must have
 	// been stopped for a while and no longer knows who is a gate.
 	pauseLimit = 1500 * time.Millisecond
+	// lateTick is the gap between two ticks from which the node is slow.
+	lateTick = 250 * time.Millisecond
 	// contactWindow is how long an exchange counts as having heard a peer.
 	contactWindow = 5 * time.Second
 	// enoughContacts bounds how many peers must be heard in the window.
@@ -57,7 +61,9 @@
 	// version is read by the watch loop. It never falls.
 	version atomic.Uint64
 
-	table    *member.Table
+	table *member.Table
+	// health lengthens timeouts while the node itself is slow.
+	health   member.Health
 	document *document.Document
 	// value is the configuration record as the platform holds it.
 	value    []byte
@@ -80,9 +86,11 @@
 	fetching   bool
 	nextGossip time.Time
 	nextGates  time.Time
-	notices    *member.Spread[string, *wire.Notice]
-	noticed    util.Set[string]
-	storeLost  bool
+	// nextConfirm is when the contacts are looked at next.
+	nextConfirm time.Time
+	notices     *member.Spread[string, *wire.Notice]
+	noticed     util.Set[string]
+	storeLost   bool
 }
 
 func newControl(n *Node) *control {
@@ -134,7 +142,7 @@
 // tick runs the systems over the tables.
 func (c *control) tick(ctx context.Context, now time.Time) error {
 	c.notePause(now)
-	c.noteChanges(c.table.Tick(now))
+	c.noteChanges(c.table.Tick(now, c.health.Stretch()))
 	c.runGossip(ctx, now)
 	c.runJoin(now)
 	c.runAssignment(ctx)
@@ -156,6 +164,9 @@
 func (c *control) notePause(now time.Time) {
 	gap := now.Sub(c.lastTick)
 	c.lastTick = now
+	if gap > lateTick {
+		c.health.Failed()
+	}
 	if gap < pauseLimit {
 		return
 	}
@@ -172,12 +183,7 @@
 
 // alone reports whether no other member is known to be alive.
 func (c *control) alone() bool {
-	for _, m := range c.table.Members() {
-		if m.VM != c.node.options.VM && m.State != member.Dead {
-			return false
-		}
-	}
-	return true
+	return c.table.Alive() == 1
 }
 
 func (c *control) noteChanges(changed []member.Member) {
@@ -275,15 +281,17 @@
 // confirm notes whether the node can know that its configuration is the
 // newest: it has heard enough peers, and none of them had a higher version.
 func (c *control) confirm(now time.Time) {
-	alive, heard := 0, 0
-	for _, m := range c.table.Members() {
-		if m.VM == c.node.options.VM || m.State == member.Dead {
+	if now.Before(c.nextConfirm) {
+		return
+	}
+	c.nextConfirm = now.Add(confirmInterval)
+	alive, heard := c.table.Alive()-1, 0
+	for vm, at := range c.contacts {
+		if now.Sub(at) >= contactWindow {
+			delete(c.contacts, vm)
 			continue
 		}
-		alive++
-		if at, found := c.contacts[m.VM]; found && now.Sub(at) < contactWindow {
-			heard++
-		}
+		heard++
 	}
 	if alive > 0 && heard >= min(enoughContacts, (alive+1)/2) && !c.fetching {
 		c.confirmed = now
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -48,6 +48,7 @@
 		partner: partner,
 		message: c.newExchange(),
 		helpers: c.table.Helpers(c.random, partner.VM, helperCount),
+		timeout: time.Duration(c.health.Stretch() * float64(exchangeTimeout)),
 	}
 	go x.run(ctx)
 }
@@ -69,6 +70,7 @@
 	partner member.Member
 	message *wire.Exchange
 	helpers []member.Member
+	timeout time.Duration
 }
 
 // run does the round and tells the control thread how it ended.
@@ -86,12 +88,12 @@
 	refused := errors.Is(err, syscall.ECONNREFUSED)
 	reached := !refused && x.reachedByOthers(ctx)
 	if ctx.Err() == nil {
-		x.control.post(unreached{vm: x.partner.VM, incarnation: x.partner.Incarnation, byOthers: reached})
+		x.control.post(unreached{vm: x.partner.VM, incarnation: x.partner.Incarnation, byOthers: reached, refused: refused})
 	}
 }
 
 func (x *exchange) ask(ctx context.Context, message *wire.Exchange) (*wire.Exchange, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, x.timeout)
 	defer cancel()
 	call := &wire.Call{Body: &wire.Call_Exchange{Exchange: message}}
 	reply, err := x.control.node.network.Ask(ctx, x.partner.VM, x.partner.PeerAddress, call)
@@ -126,6 +128,7 @@
 
 func (e exchanged) apply(ctx context.Context, c *control, now time.Time) {
 	delete(c.checking, e.partner.VM)
+	c.health.Succeeded()
 	c.take(ctx, now, e.message)
 	if len(e.message.GetBuckets()) == 0 || e.message.GetDigest() == c.table.Digest() {
 		return
@@ -135,7 +138,7 @@
 	message := c.newExchange()
 	message.Members = append(message.Members, toWire(c.table.InBuckets(differing))...)
 	message.Wanted = differing
-	x := &exchange{control: c, partner: e.partner, message: message}
+	x := &exchange{control: c, partner: e.partner, message: message, timeout: exchangeTimeout}
 	go x.run(ctx)
 }
 
@@ -171,10 +174,15 @@
 	vm          string
 	incarnation uint64
 	byOthers    bool
+	// refused is true if the VM answers that no process listens.
+	refused bool
 }
 
 func (e unreached) apply(_ context.Context, c *control, now time.Time) {
 	delete(c.checking, e.vm)
+	if !e.refused {
+		c.health.Failed()
+	}
 	m, found := c.table.Get(e.vm)
 	if e.byOthers || !found || m.Incarnation != e.incarnation {
 		return
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -102,7 +102,7 @@
 func (n *Node) handleProbe(ctx context.Context, probe *wire.Probe, send func(*wire.Reply) error) {
 	result := &wire.ProbeResult{}
 	if m, found := n.View().Members[probe.GetVm()]; found {
-		x := &exchange{control: n.control, partner: m}
+		x := &exchange{control: n.control, partner: m, timeout: exchangeTimeout}
 		_, err := x.ask(ctx, &wire.Exchange{From: n.options.VM, ConfigVersion: n.control.version.Load()})
 		result.Reached = err == nil
 	}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -21,11 +21,13 @@
 	// watchersPerZone is the number of nodes of an availability zone that call
 	// the platform without being asked to.
 	watchersPerZone = 2
-	idlePause       = 200 * time.Millisecond
-	vmInterval      = time.Second
-	statusInterval  = 5 * time.Second
-	firstBackoff    = 100 * time.Millisecond
-	longestBackoff  = 5 * time.Second
+	// introductions is the number of unknown VMs of the list tried at once.
+	introductions  = 3
+	idlePause      = 200 * time.Millisecond
+	vmInterval     = time.Second
+	statusInterval = 5 * time.Second
+	firstBackoff   = 100 * time.Millisecond
+	longestBackoff = 5 * time.Second
 )
 
 // chooseWatchers decides, without a lease, whether this node is one of those
@@ -161,7 +163,9 @@
 			unknown = append(unknown, vm.Address)
 		}
 	}
-	peersWanted{addresses: unknown}.apply(ctx, c, now)
+	// A few are enough to hear of the others.
+	c.random.Shuffle(len(unknown), func(i, j int) { unknown[i], unknown[j] = unknown[j], unknown[i] })
+	peersWanted{addresses: unknown[:min(len(unknown), introductions)]}.apply(ctx, c, now)
 }
 
 func (c *control) isUpstream(address string) bool {
--- /dev/null
+++ b/pkg/member/member_test.go
@@ -0,0 +1,202 @@
+package member
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func fresh(number int) Member {
+	return Member{
+		VM:               fmt.Sprintf("vm-%04d", number),
+		Incarnation:      1,
+		Revision:         1,
+		State:            Ready,
+		AvailabilityZone: fmt.Sprintf("zone-%d", number%11),
+		Region:           fmt.Sprintf("region-%d", number%11%4),
+		CallerAddress:    "10.0.0.1:7000",
+		PeerAddress:      "10.0.0.1:7001",
+	}
+}
+
+func group(size int) []*Table {
+	tables := make([]*Table, size)
+	for i := range tables {
+		tables[i] = NewTable(fresh(i), epoch)
+		tables[i].Merge(epoch, []Member{fresh(0)})
+	}
+	return tables
+}
+
+// exchange lets one table tell another its updates, and sync what differs, as
+// the nodes do.
+func exchange(now time.Time, a, b *Table) {
+	b.Merge(now, a.Updates())
+	a.Merge(now, b.Updates())
+	if a.Digest() == b.Digest() {
+		return
+	}
+	differing := a.Differing(b.BucketHashes())
+	mine, theirs := a.InBuckets(differing), b.InBuckets(differing)
+	b.Merge(now, mine)
+	a.Merge(now, theirs)
+}
+
+// rounds exchanges until all tables are equal and returns how many rounds of
+// one exchange a member that took; -1 if they never are.
+func rounds(tables []*Table, now time.Time, random *rand.Rand, limit int) int {
+	byName := map[string]*Table{}
+	for _, table := range tables {
+		byName[table.Self().VM] = table
+	}
+	for round := range limit {
+		if converged(tables) {
+			return round
+		}
+		for _, table := range tables {
+			partner, ok := table.Partner(random)
+			if other := byName[partner.VM]; ok && other != nil {
+				exchange(now, table, other)
+			}
+		}
+	}
+	return -1
+}
+
+func converged(tables []*Table) bool {
+	for _, table := range tables {
+		if table.Digest() != tables[0].Digest() {
+			return false
+		}
+	}
+	return true
+}
+
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(2, 30).Draw(t, "size")
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		tables := group(size)
+		if rounds(tables, epoch, random, 200) < 0 {
+			t.Fatal("the tables never became equal")
+		}
+		for _, table := range tables {
+			if table.Alive() != size {
+				t.Fatalf("%s knows %d of %d members", table.Self().VM, table.Alive(), size)
+			}
+		}
+	})
+}
+
+// TestRefute: a member that is called dead while it lives says so, and is
+// believed.
+func TestRefute(t *testing.T) {
+	tables := group(3)
+	random := rand.New(rand.NewPCG(1, 1))
+	rounds(tables, epoch, random, 100)
+	if !tables[0].Suspect(epoch, "vm-0001") {
+		t.Fatal("the suspicion is no news")
+	}
+	later := epoch.Add(tables[0].SuspectTimeout())
+	if changed := tables[0].Tick(later, 1); len(changed) != 1 || changed[0].State != Dead {
+		t.Fatalf("changed %v", changed)
+	}
+	exchange(later, tables[0], tables[2])
+	if m, _ := tables[2].Get("vm-0001"); m.State != Dead {
+		t.Fatalf("the death was not passed on: %v", m.State)
+	}
+	exchange(later, tables[0], tables[1])
+	exchange(later, tables[1], tables[2])
+	for _, table := range tables {
+		if m, _ := table.Get("vm-0001"); m.State != Ready || m.Revision < 2 {
+			t.Errorf("%s has %v revision %d", table.Self().VM, m.State, m.Revision)
+		}
+	}
+}
+
+// TestNewIncarnation: a restart replaces what was claimed of the old process,
+// and the old process learns that it is stale.
+func TestNewIncarnation(t *testing.T) {
+	old := NewTable(fresh(1), epoch)
+	other := NewTable(fresh(2), epoch)
+	other.Merge(epoch, []Member{fresh(1).WithState(Dead)})
+	restarted := fresh(1)
+	restarted.Incarnation = 2
+	other.Merge(epoch, []Member{restarted})
+	if m, _ := other.Get("vm-0001"); m.State != Ready || m.Incarnation != 2 {
+		t.Errorf("the restart was not taken over: %+v", m)
+	}
+	other.Merge(epoch, []Member{fresh(1).WithRevision(9)})
+	if m, _ := other.Get("vm-0001"); m.Incarnation != 2 {
+		t.Errorf("the old process came back: %+v", m)
+	}
+	if _, stale := old.Merge(epoch, other.Members()); !stale {
+		t.Error("the old process does not know that it is stale")
+	}
+}
+
+func TestTombstone(t *testing.T) {
+	table := NewTable(fresh(1), epoch)
+	table.Merge(epoch, []Member{fresh(2)})
+	table.Suspect(epoch, "vm-0002")
+	table.Tick(epoch.Add(table.SuspectTimeout()), 1)
+	if _, found := table.Get("vm-0002"); !found {
+		t.Fatal("the dead were forgotten at once")
+	}
+	table.Tick(epoch.Add(tombstone+time.Minute), 1)
+	if _, found := table.Get("vm-0002"); found || table.Digest() != NewTable(fresh(1), epoch).Digest() {
+		t.Error("the long dead were not forgotten")
+	}
+}
+
+// BenchmarkTick measures the systems that run every tick.
+func BenchmarkTick(b *testing.B) {
+	for _, size := range []int{9, 90, 900, 2900} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			table := NewTable(fresh(0), epoch)
+			random := rand.New(rand.NewPCG(1, 1))
+			for i := range size {
+				table.Merge(epoch, []Member{fresh(i)})
+			}
+			now := epoch
+			for b.Loop() {
+				now = now.Add(50 * time.Millisecond)
+				table.Tick(now, 1)
+				table.Partner(random)
+				table.Updates()
+				table.Digest()
+			}
+		})
+	}
+}
+
+// BenchmarkSpread measures how many rounds a change takes to reach all tables.
+func BenchmarkSpread(b *testing.B) {
+	for _, size := range []int{9, 90, 900, 2900} {
+		b.Run(fmt.Sprintf("members=%d", size), func(b *testing.B) {
+			random := rand.New(rand.NewPCG(1, 1))
+			all := make([]Member, size)
+			for i := range all {
+				all[i] = fresh(i)
+			}
+			tables := make([]*Table, size)
+			for i := range tables {
+				tables[i] = NewTable(all[i], epoch)
+				tables[i].Merge(epoch, all)
+				tables[i].updates = NewSpread[string, Member]()
+			}
+			total, changes := 0, 0
+			for b.Loop() {
+				changes++
+				tables[0].Restate(epoch, []State{Ready, Leaving}[changes%2])
+				total += rounds(tables, epoch, random, 1000)
+			}
+			b.ReportMetric(float64(total)/float64(changes), "rounds/change")
+		})
+	}
+}
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -11,11 +12,16 @@
 
 // Constants of failure detection and gossip.
 const (
-	// SuspectTimeout is how long a suspect has to refute.
-	SuspectTimeout = 700 * time.Millisecond
+	// suspectRound is the part of a suspect's time to refute that each doubling
+	// of the members adds: the suspicion must reach it and its answer the others.
+	suspectRound = 350 * time.Millisecond
+	// suspectRounds is the fewest such parts.
+	suspectRounds = 2.0
 	// tombstone is how long the dead are remembered, so that old news of them
 	// doesn't bring them back.
 	tombstone = 5 * time.Minute
+	// burialInterval is the time between two searches for the long dead.
+	burialInterval = 10 * time.Second
 	// Buckets is the number of parts of the table that are compared apart.
 	Buckets = 64
 	// maximumUpdates is the number of claims sent along with one exchange.
@@ -47,11 +53,17 @@
 	order []string
 	// generation rises with every change.
 	generation uint64
+	// alive counts the rows that aren't dead.
+	alive int
+	// suspects holds the members whose time to refute is running.
+	suspects map[string]struct{}
+	// burial is when the table is next searched for the long dead.
+	burial time.Time
 }
 
 // NewTable returns a table with only the node itself.
 func NewTable(self Member, now time.Time) *Table {
-	t := &Table{self: self.VM, rows: map[string]*row{}, updates: NewSpread[string, Member]()}
+	t := &Table{self: self.VM, rows: map[string]*row{}, updates: NewSpread[string, Member](), suspects: map[string]struct{}{}}
 	t.put(self, now)
 	return t
 }
@@ -129,16 +141,34 @@
 	bucket := bucketOf(m.VM)
 	if old, found := t.rows[m.VM]; found {
 		t.buckets[bucket] ^= old.member.Hash()
+		t.count(old.member, -1)
 	} else if m.VM != t.self {
 		position, _ := slices.BinarySearch(t.order, m.VM)
 		t.order = slices.Insert(t.order, position, m.VM)
 	}
 	t.buckets[bucket] ^= m.Hash()
+	t.count(m, 1)
 	t.rows[m.VM] = &row{member: m, changed: now}
 	t.updates.Put(m.VM, m)
 	t.generation++
 }
 
+// count keeps the number of the living and the set of the suspects true.
+func (t *Table) count(m Member, change int) {
+	if m.State != Dead {
+		t.alive += change
+	}
+	delete(t.suspects, m.VM)
+	if m.State == Suspect && change > 0 {
+		t.suspects[m.VM] = struct{}{}
+	}
+}
+
+// Alive returns the number of members that aren't dead, the node included.
+func (t *Table) Alive() int {
+	return t.alive
+}
+
 // Restate changes what the node states of itself.
 func (t *Table) Restate(now time.Time, state State) {
 	own := t.Self()
@@ -197,17 +227,29 @@
 	return true
 }
 
+// SuspectTimeout is how long a suspect has to refute, given how many members
+// there are.
+func (t *Table) SuspectTimeout() time.Duration {
+	rounds := max(suspectRounds, math.Log2(float64(t.alive))-1)
+	return time.Duration(rounds * float64(suspectRound))
+}
+
 // Tick declares suspects dead whose time is over, forgets the long dead, and
-// returns the members that changed.
-func (t *Table) Tick(now time.Time) (changed []Member) {
-	for _, vm := range t.order {
+// returns the members that changed. stretch, at least 1, lengthens the time to
+// refute for a node that is slow itself.
+func (t *Table) Tick(now time.Time, stretch float64) (changed []Member) {
+	timeout := time.Duration(stretch * float64(t.SuspectTimeout()))
+	for vm := range t.suspects {
 		r := t.rows[vm]
-		if r.member.State == Suspect && now.Sub(r.changed) >= SuspectTimeout {
+		if now.Sub(r.changed) >= timeout {
 			t.put(r.member.WithState(Dead), now)
 			changed = append(changed, t.rows[vm].member)
 		}
 	}
-	t.bury(now)
+	if now.After(t.burial) {
+		t.burial = now.Add(burialInterval)
+		t.bury(now)
+	}
 	return changed
 }
 
