--- /dev/null
+++ b/pkg/admission/admission_test.go
@@ -0,0 +1,94 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestDivide checks for any load that no more than capacity is admitted, that
+// each rank has its floor, and that no rank is refused while a less urgent one
+// gets more than its floor.
+func TestDivide(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		capacity := rapid.Float64Range(1, 1e4).Draw(t, "capacity")
+		floors := []float64{0.1, 0.2, 0.05}
+		var offered Load
+		for rank := range floors {
+			offered[rank] = rapid.Float64Range(0, 5e4).Draw(t, "offered")
+		}
+		fractions := Divide(capacity, offered, floors)
+		total, refusedUrgent := 0.0, false
+		for rank, floor := range floors {
+			granted := offered[rank] * float64(fractions[rank])
+			total += granted
+			least := min(offered[rank], floor*capacity)
+			if granted < least*0.999-1e-6 {
+				t.Fatalf("rank %d is granted %v, its floor is %v", rank, granted, least)
+			}
+			trickle := offered[rank] * minimumFraction
+			if refusedUrgent && granted > max(least, trickle)*1.001+1e-6 {
+				t.Fatalf("rank %d is granted %v beyond its floor %v while a more urgent one is refused", rank, granted, least)
+			}
+			refusedUrgent = refusedUrgent || fractions[rank] < 0.999
+		}
+		slack := (offered[0] + offered[1] + offered[2]) * minimumFraction
+		if total > capacity*1.001+slack+1e-6 {
+			t.Fatalf("%v admitted of a capacity of %v", total, capacity)
+		}
+	})
+}
+
+// TestCohorts checks that whoever knows a stricter fraction refuses what a
+// looser one refuses.
+func TestCohorts(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		hash := rapid.Uint64().Draw(t, "hash")
+		low := rapid.Float32Range(0, 1).Draw(t, "low")
+		high := rapid.Float32Range(low, 1).Draw(t, "high")
+		if Admitted(hash, low) && !Admitted(hash, high) {
+			t.Fatal("a looser fraction refuses what a stricter one admits")
+		}
+	})
+	if Admitted(0, 0) || !Admitted(0, 1) {
+		t.Error("nothing and everything")
+	}
+}
+
+func TestMeterFollowsFlood(t *testing.T) {
+	var m Meter
+	now := time.Unix(0, 0)
+	floors := []float64{0.1, 0.1}
+	var f Fractions
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		m.Arrive(0, 30)
+		m.Arrive(1, 500)
+		f = m.Tick(now, 1000, floors)
+	}
+	if f[0] < 0.999 || f[1] < 0.10 || f[1] > 0.16 {
+		t.Errorf("fractions %v: 300 urgent of a capacity of 1000 leave 670 of 5000", f[:2])
+	}
+}
+
+func BenchmarkDecide(b *testing.B) {
+	b.ReportAllocs()
+	hash := uint64(0)
+	for b.Loop() {
+		hash += 0x9e3779b97f4a7c15
+		Admitted(hash, 0.5)
+	}
+}
+
+func BenchmarkTick(b *testing.B) {
+	var m Meter
+	now := time.Unix(0, 0)
+	floors := []float64{0.1, 0.1, 0.05}
+	b.ReportAllocs()
+	for b.Loop() {
+		now = now.Add(100 * time.Millisecond)
+		m.Arrive(1, 10)
+		m.Tick(now, 1000, floors)
+	}
+}
--- /dev/null
+++ b/pkg/queue/queue_test.go
@@ -0,0 +1,113 @@
+package queue
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func drain(q *Queue[int]) (ranks []int) {
+	for {
+		item, ok := q.Pop()
+		if !ok {
+			return ranks
+		}
+		ranks = append(ranks, item.Rank)
+	}
+}
+
+func TestUrgentFirstThenDeadline(t *testing.T) {
+	q := New[int](Config{Floors: []float64{0, 0}})
+	q.Push(1, epoch, "a", 1)
+	q.Push(0, epoch.Add(2*time.Second), "a", 2)
+	q.Push(0, epoch.Add(time.Second), "b", 3)
+	var order []int
+	for q.Len() > 0 {
+		item, _ := q.Pop()
+		order = append(order, item.Value)
+	}
+	if order[0] != 3 || order[1] != 2 || order[2] != 1 {
+		t.Errorf("order %v, want 3 2 1", order)
+	}
+}
+
+// TestFloors checks for any floors that a rank which always has work receives
+// its floor of the starts, within a few, and that the rest is the urgent rank's.
+func TestFloors(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		floors := []float64{0, rapid.Float64Range(0, 0.4).Draw(t, "middle"), rapid.Float64Range(0, 0.4).Draw(t, "low")}
+		q := New[int](Config{Floors: floors})
+		const starts = 1000
+		for rank := range floors {
+			for range starts {
+				q.Push(rank, epoch, "caller", 0)
+			}
+		}
+		counts := make([]int, len(floors))
+		for range starts {
+			item, _ := q.Pop()
+			counts[item.Rank]++
+		}
+		for rank := 1; rank < len(floors); rank++ {
+			want := floors[rank] * starts
+			if got := float64(counts[rank]); got < want-creditLimit-1 || got > want+creditLimit+1 {
+				t.Fatalf("rank %d started %v times, its floor is %v (%v)", rank, got, want, counts)
+			}
+		}
+	})
+}
+
+func TestFairTurns(t *testing.T) {
+	q := New[int](Config{Floors: []float64{0}})
+	for range 50 {
+		q.Push(0, epoch, "greedy", 1)
+	}
+	q.Push(0, epoch.Add(5*time.Millisecond), "modest", 2)
+	for position := range 10 {
+		if item, _ := q.Pop(); item.Value == 2 {
+			if position > 6 {
+				t.Errorf("the modest caller came at position %d", position)
+			}
+			return
+		}
+	}
+	t.Error("the modest caller waits behind the greedy one")
+}
+
+func TestRemove(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		q := New[int](Config{Floors: []float64{0, 0.1}})
+		var items []*Item[int]
+		for i := range rapid.IntRange(1, 30).Draw(t, "count") {
+			deadline := epoch.Add(time.Duration(rapid.IntRange(0, 100).Draw(t, "deadline")) * time.Second)
+			items = append(items, q.Push(i%2, deadline, "caller", i))
+		}
+		removed := 0
+		for i, item := range items {
+			if i%3 == 0 && q.Remove(item) {
+				removed++
+			}
+		}
+		if q.Remove(items[0]) {
+			t.Fatal("an item was removed twice")
+		}
+		if left := len(drain(q)); left != len(items)-removed || q.Len() != 0 {
+			t.Fatalf("%d left of %d after %d removed", left, len(items), removed)
+		}
+	})
+}
+
+func BenchmarkPushPop(b *testing.B) {
+	q := New[int](Config{Floors: []float64{0, 0.1, 0.05}})
+	for i := range 1000 {
+		q.Push(i%3, epoch, "caller", i)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		q.Push(1, epoch, "caller", 1)
+		q.Pop()
+	}
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -75,7 +75,11 @@
 	latency float64
 	// hold is the mean time that a request holds a slot, in seconds; unlike
 	// latency it counts the long tail whole.
-	hold     float64
+	hold float64
+	// expected is latency with its excess over the median faded, as of the last
+	// tick or reply; slow says that it is far above the median.
+	expected float64
+	slow     bool
 	lastUsed time.Time
 	lastShed time.Time
 	failures int
@@ -140,45 +144,40 @@
 // Choose returns the position of the upstream with the lowest expected time
 // that has a free slot, holds the version (0 for any) and isn't excluded; -1 if
 // there is none. Upstreams much slower than the median are passed over but for
-// a probe from time to time.
+// a probe from time to time. Equal ones are taken in turn from a random start.
 func (s *Set) Choose(now time.Time, version uint64, excluded Exclusion, random *rand.Rand) int {
 	best, bestCost := -1, math.Inf(1)
-	for i := range s.rows {
+	start := random.IntN(len(s.rows))
+	for offset := range s.rows {
+		i := start + offset
+		if i >= len(s.rows) {
+			i -= len(s.rows)
+		}
 		row := &s.rows[i]
-		if excluded.Has(i) || !row.usable(now) || !row.holds(version) || !row.free() {
+		if excluded.Has(i) || !row.free() || !row.usable(now) || !row.holds(version) {
 			continue
 		}
-		if s.slow(row, now) && now.Sub(row.lastUsed) < probeInterval {
+		if row.slow && now.Sub(row.lastUsed) < probeInterval {
 			continue
 		}
-		cost := s.cost(row, now) * (1 + 0.05*random.Float64())
-		if cost < bestCost {
+		if cost := row.expected * float64(row.inFlight+1); cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
 	return best
 }
 
-// cost is the expected time of one more attempt, in seconds.
-func (s *Set) cost(row *upstream, now time.Time) float64 {
-	latency := row.latencyAt(now, s.median)
-	if latency == 0 {
-		latency = max(s.median, 1e-6)
+// assess brings what is derived from a row's latency up to date.
+func (s *Set) assess(row *upstream, now time.Time) {
+	row.expected = row.latency
+	if row.latency > s.median && s.median > 0 {
+		idle := now.Sub(row.lastUsed).Seconds()
+		row.expected = s.median + (row.latency-s.median)*math.Exp(-idle/latencyMemory.Seconds())
 	}
-	return latency * float64(row.inFlight+1)
-}
-
-func (s *Set) slow(row *upstream, now time.Time) bool {
-	return s.median > 0 && row.latencyAt(now, s.median) > slowFactor*s.median
-}
-
-// latencyAt lets the excess over the median fade while the row is not used.
-func (u *upstream) latencyAt(now time.Time, median float64) float64 {
-	if u.latency <= median {
-		return u.latency
+	if row.latency == 0 {
+		row.expected = max(s.median, 1e-6)
 	}
-	idle := now.Sub(u.lastUsed).Seconds()
-	return median + (u.latency-median)*math.Exp(-idle/latencyMemory.Seconds())
+	row.slow = s.median > 0 && row.expected > slowFactor*s.median
 }
 
 func (u *upstream) usable(now time.Time) bool {
@@ -224,6 +223,7 @@
 		row.fail(now)
 	case Declined:
 	}
+	s.assess(row, now)
 }
 
 func (u *upstream) learn(took time.Duration) {
@@ -300,8 +300,15 @@
 	row.versions = slices.DeleteFunc(row.versions, func(v uint64) bool { return v == version })
 }
 
-// Tick brings the median up to date.
+// Tick brings the median, and what is derived from it, up to date.
 func (s *Set) Tick(now time.Time) {
+	s.findMedian(now)
+	for i := range s.rows {
+		s.assess(&s.rows[i], now)
+	}
+}
+
+func (s *Set) findMedian(now time.Time) {
 	latencies := make([]float64, 0, len(s.rows))
 	for i := range s.rows {
 		if s.rows[i].latency > 0 && s.rows[i].usable(now) {
--- /dev/null
+++ b/pkg/replica/replica_test.go
@@ -0,0 +1,158 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func addresses(count int) []string {
+	list := make([]string, count)
+	for i := range list {
+		list[i] = fmt.Sprintf("10.0.0.%d:80", i)
+	}
+	return list
+}
+
+// warm returns a set whose upstreams have answered in the given times.
+func warm(slots int, latencies ...time.Duration) *Set {
+	s := NewSet(addresses(len(latencies)), slots)
+	for position, latency := range latencies {
+		for range 50 {
+			s.Start(position, epoch)
+			s.Finish(position, epoch, Succeeded, latency)
+		}
+	}
+	s.Tick(epoch)
+	return s
+}
+
+// TestSlotsAreNeverExceeded drives a set at random.
+func TestSlotsAreNeverExceeded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 5).Draw(t, "slots")
+		s := NewSet(addresses(3), slots)
+		random := rand.New(rand.NewPCG(1, rapid.Uint64().Draw(t, "seed")))
+		inFlight := make([]int, 3)
+		now := epoch
+		for range 300 {
+			now = now.Add(time.Millisecond)
+			if position := s.Choose(now, 0, 0, random); position >= 0 && random.IntN(3) > 0 {
+				s.Start(position, now)
+				inFlight[position]++
+			} else if position := random.IntN(3); inFlight[position] > 0 {
+				s.Finish(position, now, Outcome(random.IntN(5)), 5*time.Millisecond)
+				inFlight[position]--
+			}
+			for position, count := range inFlight {
+				if count > slots || count != s.InFlight(position) {
+					t.Fatalf("%d in flight at %d, the set says %d, slots %d", count, position, s.InFlight(position), slots)
+				}
+			}
+		}
+	})
+}
+
+func TestSlowUpstreamIsPassedOver(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	s := warm(2, 10*time.Millisecond, 100*time.Millisecond, 10*time.Millisecond)
+	now := epoch
+	slow := 0
+	for range 1000 {
+		now = now.Add(time.Millisecond)
+		if position := s.Choose(now, 0, 0, random); position == 1 {
+			slow++
+			s.Start(1, now)
+			s.Finish(1, now, Succeeded, 100*time.Millisecond)
+		}
+	}
+	if slow > 2 {
+		t.Errorf("the slow upstream was chosen %d times in a second", slow)
+	}
+}
+
+// TestTailDoesNotSlow: single slow replies don't make an upstream a slow one.
+func TestTailDoesNotSlow(t *testing.T) {
+	s := warm(2, 10*time.Millisecond, 10*time.Millisecond)
+	s.Start(0, epoch)
+	s.Finish(0, epoch, Succeeded, 200*time.Millisecond)
+	s.Tick(epoch)
+	if s.rows[0].slow {
+		t.Error("one slow reply made the upstream slow")
+	}
+}
+
+func TestLeavingIsSticky(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	s := warm(2, 10*time.Millisecond)
+	s.See(0, "a", []uint64{4})
+	if !s.Leave(0, "a") || s.Leave(0, "a") {
+		t.Error("the news was not told once")
+	}
+	s.See(0, "a", []uint64{4})
+	if s.Choose(epoch, 4, 0, random) >= 0 {
+		t.Error("a leaving upstream was chosen")
+	}
+	s.See(0, "b", []uint64{4})
+	if s.Choose(epoch, 4, 0, random) != 0 || s.Choose(epoch, 5, 0, random) >= 0 {
+		t.Error("the new incarnation serves version 4 only")
+	}
+	if s.Leave(0, "a") {
+		t.Error("old news of another incarnation was believed")
+	}
+}
+
+func TestFailuresAndSheds(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 1))
+	s := warm(4, 10*time.Millisecond)
+	s.Start(0, epoch)
+	s.Finish(0, epoch, Refused, time.Millisecond)
+	if s.Choose(epoch, 0, 0, random) >= 0 || s.Choose(epoch.Add(firstShedPause), 0, 0, random) != 0 {
+		t.Error("no pause after a shed, or too long a one")
+	}
+	for range failuresToDown {
+		s.Start(0, epoch)
+		s.Finish(0, epoch, Failed, time.Millisecond)
+	}
+	if s.Choose(epoch.Add(firstBackoff/2), 0, 0, random) >= 0 || s.Choose(epoch.Add(firstBackoff), 0, 0, random) != 0 {
+		t.Error("no backoff after failures, or too long a one")
+	}
+}
+
+func TestBudget(t *testing.T) {
+	var b Budget
+	spent := 0
+	for range 1000 {
+		b.Earn(0.05)
+		if b.Spend() {
+			spent++
+		}
+	}
+	if spent < 49 || spent > 50 {
+		t.Errorf("spent %d of 1000 requests at 5%%", spent)
+	}
+}
+
+func BenchmarkChoose(b *testing.B) {
+	for _, size := range []int{3, 40} {
+		b.Run(fmt.Sprintf("upstreams=%d", size), func(b *testing.B) {
+			latencies := make([]time.Duration, size)
+			for i := range latencies {
+				latencies[i] = time.Duration(10+i%3) * time.Millisecond
+			}
+			s := warm(2, latencies...)
+			random := rand.New(rand.NewPCG(1, 1))
+			b.ReportAllocs()
+			for b.Loop() {
+				position := s.Choose(epoch, 0, 0, random)
+				s.Start(position, epoch)
+				s.Finish(position, epoch, Succeeded, 10*time.Millisecond)
+			}
+		})
+	}
+}
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -53,9 +53,9 @@
 }
 
 // Measure returns the share of the key space that the ranges cover and
-// whether they tile it: no gap and no overlap.
+// whether they tile it: no gap and no overlap. Empty ranges count for nothing.
 func Measure(ranges []Range) (fraction float64, tiled bool) {
-	sorted := slices.Clone(ranges)
+	sorted := slices.DeleteFunc(slices.Clone(ranges), func(r Range) bool { return r.Low >= r.High })
 	slices.SortFunc(sorted, func(a, b Range) int { return cmp.Compare(a.Low, b.Low) })
 	covered, end := uint64(0), uint64(0)
 	tiled = true
