Flood: backlog drained, hopeless work refused on arrival, hedges ask again

Cause: at the start of a flood entries admitted all until the first new fractions came; the backlog of 1.8 s then stayed, since as much was admitted as was done. The slowest urgent answers in a flood (-slowest, new) had one attempt of 200 ms without a hedge: some other urgent work had waited at the moment the hedge asked, and it did not ask again. Capacity in reports ignored slow replicas and the round trip, so 'half load' was more than half.

Change: fractions fall by what waits beyond 60 ms of work; the offered load is averaged over 250 ms; work whose predecessors in the queue last beyond its deadline is refused on arrival; a hedge without room asks again; the load tool's capacity counts slow replicas and the round trip. Records of configurations are compressed, and peers that have the version before get a delta: a document of 22,000 upstreams (923,390 bytes) is 95,575 bytes compressed. JSON of records is written in one piece.

Conclusion: what is slow in a flood is what was not hedged, not what waited.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -46,5 +46,8 @@
 	if options.json {
 		return exitDone, result.WriteJSON(streams.Out)
 	}
-	return exitDone, result.WriteTable(streams.Out)
+	if err := result.WriteTable(streams.Out); err != nil || options.slowest == 0 {
+		return exitDone, err
+	}
+	return exitDone, result.WriteSlowest(streams.Out, options.slowest)
 }
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -94,6 +94,7 @@
 	json    bool
 	plot    string
 	seconds float64
+	slowest int
 }
 
 // errUsage marks errors that are the user's; errHelp a call for help.
@@ -280,6 +281,7 @@
 		set.StringVar(&options.mode, "mode", "gate", "\"gate\", or \"direct\" for the baseline")
 		set.BoolVar(&options.json, "json", false, "print JSON lines in place of a table")
 		set.StringVar(&options.plot, "plot", "", "write a plot to this file, .svg or .png")
+		set.IntVar(&options.slowest, "slowest", 0, "also list this many of the slowest urgent answers of each phase")
 		set.Float64Var(&options.seconds, "seconds", 0, "run for this long in place of the plan's duration")
 	})
 	if err != nil {
--- a/internal/gate/hedge.go
+++ b/internal/gate/hedge.go
@@ -15,9 +15,11 @@
 	service *service
 	work    *work
 	timer   *time.Timer
-	// rescue is true once the timer stands for a rescue.
-	rescue bool
-	asked  bool
+	// since is when the attempt started, rescue when it counts as silent.
+	since  time.Time
+	rescue time.Duration
+	// delay is the time after which it counts as a straggler.
+	delay time.Duration
 }
 
 // Constants of the rescue of work that makes no progress at all.
@@ -27,6 +29,10 @@
 	// earliestRescue is the shortest time before a rescue, and the time while
 	// no delay is known yet.
 	earliestRescue = 200 * time.Millisecond
+	// askAgain divides the hedge delay into the pause before a hedge that found
+	// no room asks again; shortestAsk bounds it.
+	askAgain    = 4
+	shortestAsk = 2 * time.Millisecond
 )
 
 // rescueAfter is the time after which an attempt counts as silent: its
@@ -41,13 +47,16 @@
 
 // newHedge arms the timer for work whose first attempt starts now.
 func (s *service) newHedge(w *work) *hedge {
+	h := &hedge{service: s, work: w, since: time.Now()}
 	s.mu.Lock()
 	delay, known := s.delays.Delay()
+	h.rescue = s.rescueAfter()
+	s.mu.Unlock()
+	h.delay = delay
 	if !known {
-		delay = s.rescueAfter()
+		h.delay = h.rescue
 	}
-	s.mu.Unlock()
-	h := &hedge{service: s, work: w, rescue: !known, timer: time.NewTimer(delay)}
+	h.timer = time.NewTimer(h.delay)
 	if !w.kind.Repeat || s.gates.config.Mode == Direct {
 		h.timer.Stop()
 	}
@@ -55,27 +64,33 @@
 }
 
 // ask queues the hedge if its budget allows it and no work of its own rank or
-// a more urgent one waits: slots are scarce then. A rescue is paid from the
-// budget of retries, since its first attempt is as good as failed.
+// a more urgent one waits: slots are scarce then. Otherwise it asks again a
+// little later. A rescue is paid from the budget of retries, since its first
+// attempt is as good as failed.
 func (h *hedge) ask() {
 	s, w := h.service, h.work
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !h.rescue {
-		h.rescue = true
-		h.timer.Reset(s.rescueAfter())
-		head, waiting := s.queue.Peek()
-		if waiting && head.Rank <= w.kind.Rank || !s.budgetsOf(w.kind).hedge.Spend() {
-			return
-		}
-	} else if h.asked || w.hedged || !s.budgetsOf(w.kind).retry.Spend() {
+	if !h.mayStart() {
+		h.timer.Reset(max(h.delay/askAgain, shortestAsk))
 		return
 	}
-	h.asked = true
 	s.hedges = append(s.hedges, w)
 	s.pump(time.Now())
 }
 
+// mayStart takes the hedge out of a budget. The service is locked.
+func (h *hedge) mayStart() bool {
+	s, w := h.service, h.work
+	if time.Since(h.since) >= h.rescue {
+		return s.budgetsOf(w.kind).retry.Spend()
+	}
+	if head, waiting := s.queue.Peek(); waiting && head.Rank <= w.kind.Rank {
+		return false
+	}
+	return s.budgetsOf(w.kind).hedge.Spend()
+}
+
 // pumpHedges gives free slots to the hedges that no more urgent work waits
 // before. The service is locked.
 func (s *service) pumpHedges(now time.Time) {
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -87,7 +87,12 @@
 	if s.gates.config.Mode == Direct {
 		return
 	}
-	fractions := s.meter.Tick(now, s.set.Capacity(now), s.floors)
+	s.capacity = s.set.Capacity(now)
+	var waiting admission.Load
+	for rank := range min(len(s.floors), len(waiting)) {
+		waiting[rank] = float64(s.queue.Waiting(rank))
+	}
+	fractions := s.meter.Tick(now, s.capacity, waiting, s.floors)
 	for rank := range fractions {
 		change := math.Abs(float64(fractions[rank] - s.admitted[rank]))
 		if change > admittedStep*float64(s.admitted[rank]) || fractions[rank] == 1 {
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -58,8 +58,10 @@
 	set    *replica.Set
 	queue  *queue.Queue[*work]
 	// hedges is the work that waits for a second attempt.
-	hedges   []*work
-	meter    admission.Meter
+	hedges []*work
+	meter  admission.Meter
+	// capacity is in requests a second, as of the last tick; 0 if not known.
+	capacity float64
 	delays   *replica.Delays
 	budgets  map[string]*budgets
 	random   *rand.Rand
--- a/internal/gate/work.go
+++ b/internal/gate/work.go
@@ -42,6 +42,8 @@
 	attempts uint32
 	hedged   bool
 	queued   time.Duration
+	// began is when the first attempt started.
+	began time.Time
 	// mayHaveRun is true once an attempt ended without saying that it did not
 	// run.
 	mayHaveRun bool
@@ -149,12 +151,24 @@
 	rank := w.kind.Rank
 	if s.gates.config.Mode == Direct {
 		rank = 0
+	} else if s.tooLate(w, now) {
+		return nil, answer.CodeOverloaded
 	}
 	item = s.queue.Push(rank, w.deadline, w.batch.GetCaller(), w)
 	s.pump(now)
 	return item, ""
 }
 
+// tooLate reports whether the work that waits before it will not be done by the
+// work's deadline.
+func (s *service) tooLate(w *work, now time.Time) bool {
+	if s.capacity == 0 {
+		return false
+	}
+	wait := float64(s.queue.Ahead(w.kind.Rank)) / s.capacity
+	return wait > w.deadline.Sub(now).Seconds()
+}
+
 // pump gives free slots to waiting work. The service is locked.
 func (s *service) pump(now time.Time) {
 	if s.role == acquiring {
@@ -234,6 +248,9 @@
 
 // begin starts an attempt at the upstream, whose slot is already taken.
 func (s *service) begin(ctx context.Context, w *work, position int) {
+	if w.attempts == 0 {
+		w.began = time.Now()
+	}
 	w.attempts++
 	w.running++
 	s.mu.Lock()
@@ -310,7 +327,7 @@
 	reply.Attempts = w.attempts
 	reply.Hedged = w.hedged
 	reply.QueuedMicros = w.queued.Microseconds()
-	reply.ServedMicros = result.took.Microseconds()
+	reply.ServedMicros = time.Since(w.began).Microseconds()
 	return reply
 }
 
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -1,9 +1,11 @@
 package load
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
+	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -160,6 +162,34 @@
 	return errors.WithStack(err)
 }
 
+// WriteSlowest writes the slowest answers of each phase and of the most urgent
+// rank, with the shard that each waited for longest.
+func (r *Result) WriteSlowest(w io.Writer, count int) error {
+	table := tabwriter.NewWriter(w, 0, 4, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(table, "phase\tat s\ttook ms\tshard\tqueued ms\tserved ms\tattempts\thedged\tupstream\trequest\t")
+	for _, phase := range r.Config.Plan.Phases {
+		for _, sample := range r.slowest(phase, count) {
+			shard := sample.Slowest
+			fmt.Fprintf(table, "%s\t%.2f\t%.1f\t%s\t%.1f\t%.1f\t%d\t%t\t%s\t%s\t\n", phase.Name, sample.At.Seconds(),
+				sample.Took.Seconds()*1000, shard.Shard, float64(shard.QueuedMicros)/1000, float64(shard.ServedMicros)/1000,
+				shard.Attempts, shard.Hedged, shard.Upstream, sample.ID)
+		}
+	}
+	return errors.WithStack(table.Flush())
+}
+
+func (r *Result) slowest(phase Phase, count int) []Sample {
+	var samples []Sample
+	for _, sample := range r.Samples {
+		kind, _ := r.Config.Plan.Document.Kind(sample.Kind)
+		if kind.Rank == 0 && sample.Status == answer.Ran && sample.At >= phase.From && sample.At < phase.To {
+			samples = append(samples, sample)
+		}
+	}
+	slices.SortFunc(samples, func(a, b Sample) int { return cmp.Compare(b.Took, a.Took) })
+	return samples[:min(count, len(samples))]
+}
+
 // summary is the last JSON line of a report.
 type summary struct {
 	Seed      uint64        `json:"seed"`
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -47,6 +47,8 @@
 	Coverage float64
 	Shards   int
 	ID       string
+	// Slowest is the shard that the answer waited for longest.
+	Slowest answer.Included
 }
 
 // Result is what a run brought.
@@ -134,7 +136,7 @@
 		return
 	}
 	random := rand.New(rand.NewPCG(seed, 3))
-	rate := stream.Load * r.config.Plan.capacity(kind)
+	rate := stream.Load * r.config.Plan.capacity(kind, r.config.Seed)
 	for at := stream.From; ctx.Err() == nil; {
 		at += time.Duration(random.ExpFloat64() / rate * float64(time.Second))
 		if at >= min(stream.To, r.config.Plan.Duration) {
@@ -165,6 +167,7 @@
 		sample.Coverage = a.Coverage.Fraction
 		sample.Shards = len(a.Coverage.Included) + len(a.Coverage.Omitted)
 		sample.ID = a.RequestID
+		sample.Slowest = slowestShard(a)
 		if a.Error != nil {
 			sample.Code = a.Error.Code
 		}
@@ -174,6 +177,15 @@
 	r.samples = append(r.samples, sample)
 }
 
+func slowestShard(a *answer.Answer) (slowest answer.Included) {
+	for _, shard := range a.Coverage.Included {
+		if shard.QueuedMicros+shard.ServedMicros > slowest.QueuedMicros+slowest.ServedMicros {
+			slowest = shard
+		}
+	}
+	return slowest
+}
+
 func (r *runner) disturb(d Disturbance) {
 	upstreams := r.system.Upstreams[d.Service]
 	if d.Replica > len(upstreams) {
@@ -216,7 +228,7 @@
 		}
 	}
 	for _, kind := range r.config.Plan.Document.Kinds {
-		result.CapacityOf[kind.Name] = r.config.Plan.capacity(kind)
+		result.CapacityOf[kind.Name] = r.config.Plan.capacity(kind, r.config.Seed)
 	}
 	return result
 }
--- a/internal/load/service.go
+++ b/internal/load/service.go
@@ -24,35 +24,58 @@
 	}
 }
 
-// meanService is the mean of the service times of upstreams that aren't slow.
-func (p *Plan) meanService() time.Duration {
-	factor := 1 + p.SlowReplies*(p.SlowFactor-1)
-	return time.Duration(float64(p.ServiceTime) * factor)
+// holdTime is the mean time that a request holds a slot, as its gate sees it:
+// the service time and the way there and back.
+func (p *Plan) holdTime(slow bool) time.Duration {
+	mean := float64(p.ServiceTime) * (1 + p.SlowReplies*(p.SlowFactor-1))
+	if slow {
+		mean *= slowReplicaFactor
+	}
+	return time.Duration(mean) + 2*p.Latency
+}
+
+// slowOnes draws from the seed which upstreams are slow all the time, at most
+// one of each service: the position of it in its service.
+func (p *Plan) slowOnes(seed uint64) map[string]int {
+	random := rand.New(rand.NewPCG(seed, 7))
+	slow := map[string]int{}
+	for _, service := range p.Document.Services {
+		for position := range service.Upstreams {
+			if _, found := slow[service.Name]; !found && random.Float64() < p.SlowReplicas {
+				slow[service.Name] = position
+			}
+		}
+	}
+	return slow
 }
 
 // capacity is the rate of requests, a second, that a kind's target can take:
-// that of its smallest service.
-func (p *Plan) capacity(kind document.Kind) float64 {
-	smallest := math.Inf(1)
+// that of its weakest service, slow upstreams counted as slow.
+func (p *Plan) capacity(kind document.Kind, seed uint64) float64 {
+	slow := p.slowOnes(seed)
+	weakest := math.Inf(1)
 	for _, name := range p.Document.ServicesOf(kind.Target()) {
 		service, _ := p.Document.Service(name)
-		slots := float64(service.Limits.Slots * len(service.Upstreams))
-		smallest = min(smallest, slots/p.meanService().Seconds())
+		rate := 0.0
+		for position := range service.Upstreams {
+			slowPosition, found := slow[name]
+			hold := p.holdTime(found && slowPosition == position)
+			rate += float64(service.Limits.Slots) / hold.Seconds()
+		}
+		weakest = min(weakest, rate)
 	}
-	return smallest
+	return weakest
 }
 
-// serviceTimes returns what draws the times of each service's upstreams. Which
-// upstreams are slow all the time is drawn from the seed, at most one of each
-// service.
+// serviceTimes returns what draws the times of each service's upstreams, which
+// are asked for in their order.
 func (p *Plan) serviceTimes(seed uint64) func(document.Service) func(*rand.Rand) time.Duration {
-	random := rand.New(rand.NewPCG(seed, 7))
+	slow := p.slowOnes(seed)
 	started := map[string]int{}
-	slowIn := map[string]bool{}
 	return func(service document.Service) func(*rand.Rand) time.Duration {
+		position, found := slow[service.Name]
+		isSlow := found && position == started[service.Name]
 		started[service.Name]++
-		slow := !slowIn[service.Name] && random.Float64() < p.SlowReplicas
-		slowIn[service.Name] = slowIn[service.Name] || slow
-		return p.draw(slow)
+		return p.draw(isSlow)
 	}
 }
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -5,7 +5,6 @@
 import (
 	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -173,9 +172,9 @@
 		Operator:  Environment,
 		Text:      string(text),
 	}
-	value, err := json.Marshal(record)
+	value, err := record.Encode()
 	if err != nil {
-		return errors.WithStack(err)
+		return err
 	}
 	s.Platform.Store(promotion.Key(Environment), value)
 	return nil
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -66,9 +66,14 @@
 	health   member.Health
 	document *document.Document
 	// value is the configuration record as the platform holds it.
-	value    []byte
-	services *assignment.Services
-	assigned *assignment.Table
+	value []byte
+	// delta leads from previousVersion to the present one; nil if there is none.
+	delta           *wire.Document
+	previousVersion uint64
+	// wantWhole is true after a delta that did not fit.
+	wantWhole bool
+	services  *assignment.Services
+	assigned  *assignment.Table
 	// generation is the table's as of the last assignment.
 	generation uint64
 	// published is the table's generation as of the last view.
@@ -330,6 +335,7 @@
 		c.node.log.Error(err, "configRefused", "vm", c.node.options.VM, "configVersion", version)
 		return
 	}
+	c.keepDelta(version, record)
 	c.version.Store(version)
 	c.document, c.value = parsed, value
 	names := make([]string, len(parsed.Services))
@@ -345,3 +351,26 @@
 		Detail:        record.Digest,
 	})
 }
+
+// keepDelta remembers how the text in force becomes that of a new version, for
+// the members that still have the old one.
+func (c *control) keepDelta(version uint64, record promotion.Record) {
+	c.delta, c.previousVersion = nil, c.version.Load()
+	if c.document == nil {
+		return
+	}
+	delta := promotion.Difference(string(c.document.Text), record.Text)
+	record.Text = ""
+	bare, err := record.Encode()
+	if err != nil {
+		return
+	}
+	c.delta = &wire.Document{
+		Version:     version,
+		Record:      bare,
+		BaseVersion: c.previousVersion,
+		Prefix:      uint32(delta.Prefix),
+		Suffix:      uint32(delta.Suffix),
+		Middle:      []byte(delta.Middle),
+	}
+}
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -7,6 +7,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/bronzereach/bronzereach/internal/promotion"
 	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/member"
@@ -233,39 +234,67 @@
 		return
 	}
 	c.fetching = true
-	go c.fetchLoop(ctx, m)
+	known := c.version.Load()
+	if c.wantWhole {
+		known = 0
+	}
+	c.wantWhole = false
+	go c.fetchLoop(ctx, m, known)
 }
 
-func (c *control) fetchLoop(ctx context.Context, m member.Member) {
+func (c *control) fetchLoop(ctx context.Context, m member.Member, known uint64) {
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	call := &wire.Call{Body: &wire.Call_Fetch{Fetch: &wire.Fetch{}}}
+	call := &wire.Call{Body: &wire.Call_Fetch{Fetch: &wire.Fetch{KnownVersion: known}}}
 	reply, err := c.node.network.Ask(ctx, m.VM, m.PeerAddress, call)
 	if err != nil {
 		c.post(fetched{})
 		return
 	}
-	c.post(fetched{version: reply.GetDocument().GetVersion(), value: reply.GetDocument().GetText()})
+	c.post(fetched{document: reply.GetDocument()})
 }
 
-// fetched is the end of a fetch; version 0 if it failed.
+// fetched is the end of a fetch; without a document if it failed.
 type fetched struct {
-	version uint64
-	value   []byte
+	document *wire.Document
 }
 
 func (e fetched) apply(_ context.Context, c *control, _ time.Time) {
 	c.fetching = false
-	c.adopt(e.version, e.value)
+	if e.document.GetBaseVersion() == 0 {
+		c.adopt(e.document.GetVersion(), e.document.GetRecord())
+		return
+	}
+	if e.document.GetBaseVersion() != c.version.Load() {
+		return
+	}
+	delta := promotion.Delta{
+		Prefix: int(e.document.GetPrefix()),
+		Suffix: int(e.document.GetSuffix()),
+		Middle: string(e.document.GetMiddle()),
+	}
+	value, err := delta.Apply(e.document.GetRecord(), string(c.document.Text))
+	if err != nil {
+		c.wantWhole = true
+		c.node.log.Error(err, "configDeltaRefused", "vm", c.node.options.VM, "configVersion", e.document.GetVersion())
+		return
+	}
+	c.adopt(e.document.GetVersion(), value)
 }
 
-// wanted asks the control thread for the configuration, to send it to a member.
+// wanted asks the control thread for the configuration, to send it to a member
+// that has the known version.
 type wanted struct {
+	known uint64
 	reply chan *wire.Document
 }
 
 func (e wanted) apply(_ context.Context, c *control, _ time.Time) {
-	e.reply <- &wire.Document{Version: c.version.Load(), Text: c.value}
+	if e.known != 0 && e.known == c.previousVersion && c.delta != nil {
+		e.reply <- c.delta
+		return
+	}
+	e.reply <- &wire.Document{Version: c.version.Load(), Record: c.value}
 }
 
 // leave makes the node a leaving one.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -21,7 +21,7 @@
 	case *wire.Call_Probe:
 		n.handleProbe(ctx, body.Probe, send)
 	case *wire.Call_Fetch:
-		n.handleFetch(ctx, send)
+		n.handleFetch(ctx, body.Fetch, send)
 	case *wire.Call_Forward:
 		forwarded := n.entry.Forwarded(ctx, body.Forward)
 		reply(send, &wire.Reply{Body: &wire.Reply_Forwarded{Forwarded: forwarded}})
@@ -109,8 +109,8 @@
 	reply(send, &wire.Reply{Body: &wire.Reply_ProbeResult{ProbeResult: result}})
 }
 
-func (n *Node) handleFetch(ctx context.Context, send func(*wire.Reply) error) {
-	e := wanted{reply: make(chan *wire.Document, 1)}
+func (n *Node) handleFetch(ctx context.Context, fetch *wire.Fetch, send func(*wire.Reply) error) {
+	e := wanted{known: fetch.GetKnownVersion(), reply: make(chan *wire.Document, 1)}
 	n.control.post(e)
 	select {
 	case document := <-e.reply:
--- a/internal/promotion/promotion.go
+++ b/internal/promotion/promotion.go
@@ -4,8 +4,11 @@
 package promotion
 
 import (
+	"bytes"
+	"compress/gzip"
 	"context"
 	"encoding/json"
+	"io"
 	"math/rand/v2"
 	"time"
 
@@ -44,11 +47,50 @@
 	Version   uint64 `json:"version"`
 }
 
+// Encode returns the record as the platform and the nodes carry it: JSON,
+// compressed, since a document of 22,000 upstreams would fill a value.
+func (r Record) Encode() (value []byte, err error) {
+	defer util.Annotate(&err, "encode configuration")
+	text, err := json.Marshal(r)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
+	var buffer bytes.Buffer
+	writer := gzip.NewWriter(&buffer)
+	if _, err := writer.Write(text); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if err := writer.Close(); err != nil {
+		return nil, errors.WithStack(err)
+	}
+	if buffer.Len() > platform.MaximumValue {
+		return nil, errors.Errorf("the document is larger than the platform holds: %d bytes compressed", buffer.Len())
+	}
+	return buffer.Bytes(), nil
+}
+
+// maximumRecord is the largest record once decompressed, in bytes.
+const maximumRecord = 4 * document.MaximumSize
+
+// DecodeRecord reads what Encode made.
+func DecodeRecord(value []byte) (record Record, err error) {
+	defer util.Annotate(&err, "decode configuration")
+	reader, err := gzip.NewReader(bytes.NewReader(value))
+	if err != nil {
+		return record, errors.WithStack(err)
+	}
+	text, err := io.ReadAll(io.LimitReader(reader, maximumRecord))
+	if err != nil {
+		return record, errors.WithStack(err)
+	}
+	return record, errors.WithStack(json.Unmarshal(text, &record))
+}
+
 // ParseRecord reads a record and its document.
 func ParseRecord(value []byte) (record Record, parsed *document.Document, err error) {
-	defer util.Annotate(&err, "read configuration")
-	if err := json.Unmarshal(value, &record); err != nil {
-		return record, nil, errors.WithStack(err)
+	record, err = DecodeRecord(value)
+	if err != nil {
+		return record, nil, err
 	}
 	parsed, err = document.Parse([]byte(record.Text))
 	return record, parsed, err
@@ -149,7 +191,7 @@
 	if current.Version > 0 {
 		attempt.record.History = historyOf(current)
 	}
-	attempt.Value, err = json.Marshal(attempt.record)
+	attempt.Value, err = attempt.record.Encode()
 	if err != nil {
 		return nil, &Result{Outcome: NotDone, Message: err.Error()}
 	}
@@ -157,8 +199,8 @@
 }
 
 func historyOf(current platform.Object) []Past {
-	var record Record
-	if err := json.Unmarshal(current.Value, &record); err != nil {
+	record, err := DecodeRecord(current.Value)
+	if err != nil {
 		return nil
 	}
 	past := Past{Promotion: record.Promotion, Digest: record.Digest, Version: current.Version}
@@ -197,8 +239,8 @@
 	if err != nil || current.Version <= a.base {
 		return nil
 	}
-	var found Record
-	if err := json.Unmarshal(current.Value, &found); err != nil {
+	found, err := DecodeRecord(current.Value)
+	if err != nil {
 		return nil
 	}
 	if found.Promotion == a.record.Promotion {
@@ -217,8 +259,8 @@
 }
 
 func (a *Attempt) conflict(current platform.Object) *Result {
-	var winner Record
-	if err := json.Unmarshal(current.Value, &winner); err != nil {
+	winner, err := DecodeRecord(current.Value)
+	if err != nil {
 		return &Result{Outcome: Conflict, Version: current.Version}
 	}
 	return &Result{
--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -84,8 +84,7 @@
 	nodes     []*process
 	folder    string
 	text      string
-	// bare leaves out the proxies, for measurements.
-	bare bool
+	config    clusterConfig
 }
 
 // records are the lines that the index holds in a version. Each names its
@@ -105,12 +104,19 @@
 
 func newCluster(t *testing.T, nodes int) *cluster {
 	t.Helper()
-	return startCluster(t, nodes, false)
+	return startCluster(t, clusterConfig{nodes: nodes, shards: shards, replicas: 3})
+}
+
+// clusterConfig describes a cluster.
+type clusterConfig struct {
+	nodes, shards, replicas int
+	// bare leaves out the proxies, for measurements.
+	bare bool
 }
 
-func startCluster(t *testing.T, nodes int, bare bool) *cluster {
+func startCluster(t *testing.T, config clusterConfig) *cluster {
 	t.Helper()
-	c := &cluster{t: t, platform: standin.NewPlatform(1), upstreams: map[string][]*standin.Upstream{}, folder: t.TempDir(), bare: bare}
+	c := &cluster{t: t, platform: standin.NewPlatform(1), upstreams: map[string][]*standin.Upstream{}, folder: t.TempDir(), config: config}
 	c.server = httptest.NewServer(c.platform)
 	t.Cleanup(c.server.Close)
 	var text strings.Builder
@@ -140,15 +146,15 @@
 query = "record"
 minimumRecords = 1
 `)
-	for shard := range shards {
+	for shard := range config.shards {
 		fmt.Fprintf(&text, "[[service]]\nname = \"records-%d\"\nindex = \"records\"\nupstreams = [%s]\n", shard,
-			c.startService(fmt.Sprintf("records-%d", shard), 3))
+			c.startService(fmt.Sprintf("records-%d", shard), config.replicas))
 	}
 	fmt.Fprintf(&text, "[[pool]]\nname = \"orders\"\nslots = 4\nconnections = 24\nupstreams = [%s]\n", c.startService("orders", 2))
 	c.text = text.String()
-	c.hold(1, standin.Shard(records(1, recordCount), shards))
+	c.hold(1, standin.Shard(records(1, recordCount), config.shards))
 	c.putInForce(c.text)
-	for i := range nodes {
+	for i := range config.nodes {
 		c.start(fmt.Sprintf("vm-%d", i+1))
 	}
 	c.awaitReady()
@@ -175,7 +181,7 @@
 
 // hold gives each service its part of a version of the index.
 func (c *cluster) hold(version uint64, contents []standin.Contents) {
-	for shard := range shards {
+	for shard := range c.config.shards {
 		for _, u := range c.upstreams[fmt.Sprintf("records-%d", shard)] {
 			u.Hold(version, contents[shard])
 		}
@@ -183,7 +189,7 @@
 }
 
 func (c *cluster) drop(version uint64) {
-	for shard := range shards {
+	for shard := range c.config.shards {
 		for _, u := range c.upstreams[fmt.Sprintf("records-%d", shard)] {
 			u.Drop(version)
 		}
@@ -191,7 +197,7 @@
 }
 
 func (c *cluster) putInForce(text string) {
-	value, err := json.Marshal(promotion.Record{Promotion: "first", Digest: document.Digest([]byte(text)), Text: text})
+	value, err := promotion.Record{Promotion: "first", Digest: document.Digest([]byte(text)), Text: text}.Encode()
 	if err != nil {
 		c.t.Fatal(err)
 	}
@@ -204,7 +210,7 @@
 	p := &process{vm: vm, stderr: &bytes.Buffer{}, exited: make(chan struct{})}
 	p.caller, p.peer = freeAddress(c.t), freeAddress(c.t)
 	p.named = p.peer
-	if !c.bare {
+	if !c.config.bare {
 		p.interpose(c.t)
 	}
 	var peers []string
@@ -374,7 +380,7 @@
 			}
 			gates += len(status.Gates)
 		}
-		return gates == shards+1
+		return gates == c.config.shards+1
 	})
 }
 
--- a/internal/proof/slopes_test.go
+++ b/internal/proof/slopes_test.go
@@ -88,7 +88,7 @@
 }
 
 func measureSlope(t *testing.T, nodes int) {
-	c := startCluster(t, nodes, true)
+	c := startCluster(t, clusterConfig{nodes: nodes, shards: shards, replicas: 3, bare: true})
 	// The news of the start must have been told often enough to rest.
 	time.Sleep(settleBase + time.Duration(nodes)*settlePerNode)
 	before := c.totals()
--- a/internal/proof/together_test.go
+++ b/internal/proof/together_test.go
@@ -295,8 +295,8 @@
 		t.Errorf("only %d of %d races had a winner", len(accepted), raceCount)
 	}
 	value, _ := c.platform.Load(promotion.Key("proof"))
-	var record promotion.Record
-	if err := json.Unmarshal(value, &record); err != nil {
+	record, err := promotion.DecodeRecord(value)
+	if err != nil {
 		t.Fatal(err)
 	}
 	for _, past := range record.History {
--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -14,7 +14,9 @@
 // Constants of the controller.
 const (
 	// window is the time constant of the averages.
-	window = 400 * time.Millisecond
+	window = 250 * time.Millisecond
+	// drainTime is the time in which work that already waits is to be done.
+	drainTime = 500 * time.Millisecond
 	// target is the utilisation that admitted work is held to.
 	target = 0.97
 	// minimumFraction keeps a trickle of each rank, so that its offered load
@@ -76,8 +78,9 @@
 }
 
 // Tick averages what came since the last tick and returns what is to be
-// admitted, given the capacity in requests a second; 0 if it is not known.
-func (m *Meter) Tick(now time.Time, capacity float64, floors []float64) Fractions {
+// admitted, given the capacity in requests a second (0 if it is not known) and
+// the requests that wait, by rank.
+func (m *Meter) Tick(now time.Time, capacity float64, waiting Load, floors []float64) Fractions {
 	elapsed := now.Sub(m.last)
 	first := m.last.IsZero()
 	m.last = now
@@ -93,9 +96,28 @@
 	if capacity == 0 {
 		return Everything()
 	}
-	return Divide(target*capacity, m.offered, floors)
+	return m.drain(Divide(target*capacity, m.offered, floors), capacity, waiting)
 }
 
+// drain admits less of the ranks that already have more waiting than the
+// slots need to stay busy.
+func (m *Meter) drain(fractions Fractions, capacity float64, waiting Load) Fractions {
+	allowed := allowedWait.Seconds() * capacity
+	for rank := range fractions {
+		if m.offered[rank] == 0 {
+			continue
+		}
+		excess := max(0, waiting[rank]-allowed) / drainTime.Seconds()
+		granted := float64(fractions[rank]) * m.offered[rank]
+		fractions[rank] = float32(max(minimumFraction, (granted-excess)/m.offered[rank]))
+	}
+	return fractions
+}
+
+// allowedWait is the work that may wait in one rank, as time of the whole
+// capacity.
+const allowedWait = 60 * time.Millisecond
+
 // Offered returns the averaged offered load.
 func (m *Meter) Offered() Load {
 	return m.offered
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -65,13 +65,34 @@
 		now = now.Add(100 * time.Millisecond)
 		m.Arrive(0, 30)
 		m.Arrive(1, 500)
-		f = m.Tick(now, 1000, floors)
+		f = m.Tick(now, 1000, Load{}, floors)
 	}
 	if f[0] < 0.999 || f[1] < 0.10 || f[1] > 0.16 {
 		t.Errorf("fractions %v: 300 urgent of a capacity of 1000 leave 670 of 5000", f[:2])
 	}
 }
 
+// TestMeterDrains: a rank with a backlog is admitted less, the others as before.
+func TestMeterDrains(t *testing.T) {
+	var m Meter
+	now := time.Unix(0, 0)
+	floors := []float64{0.1, 0.1}
+	var idle, loaded Fractions
+	for range 20 {
+		now = now.Add(100 * time.Millisecond)
+		m.Arrive(0, 30)
+		m.Arrive(1, 500)
+		idle = m.Tick(now, 1000, Load{}, floors)
+	}
+	now = now.Add(100 * time.Millisecond)
+	m.Arrive(0, 30)
+	m.Arrive(1, 500)
+	loaded = m.Tick(now, 1000, Load{0, 400}, floors)
+	if loaded[0] < 0.999 || loaded[1] > idle[1]/10 {
+		t.Errorf("with 400 waiting %v, without %v", loaded[:2], idle[:2])
+	}
+}
+
 func BenchmarkDecide(b *testing.B) {
 	b.ReportAllocs()
 	hash := uint64(0)
@@ -89,6 +110,6 @@
 	for b.Loop() {
 		now = now.Add(100 * time.Millisecond)
 		m.Arrive(1, 10)
-		m.Tick(now, 1000, floors)
+		m.Tick(now, 1000, Load{}, floors)
 	}
 }
--- a/pkg/answer/answer.go
+++ b/pkg/answer/answer.go
@@ -65,7 +65,7 @@
 	Config   Config   `json:"config"`
 	Coverage Coverage `json:"coverage"`
 	// Records holds the merged records; shards in order of their key ranges.
-	Records []query.Text `json:"records"`
+	Records query.Texts `json:"records"`
 	// Sums holds the merged sums, by name, for the merge rule "sums".
 	Sums []Sum `json:"sums,omitempty"`
 	// Error says why there is no answer, or why it is not whole.
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -7,9 +7,9 @@
 	"github.com/bronzereach/bronzereach/pkg/answer"
 )
 
-// MaximumSize is the largest document accepted, in bytes: what one value of
-// the platform holds, less room for its frame.
-const MaximumSize = 900 << 10
+// MaximumSize is the largest document accepted, in bytes. It is stored
+// compressed.
+const MaximumSize = 4 << 20
 
 // Fallbacks of optional keys.
 const (
@@ -32,7 +32,7 @@
 // Parse reads a document. The error lists every problem with its line.
 func Parse(text []byte) (document *Document, err error) {
 	if len(text) > MaximumSize {
-		return nil, Problems{{Message: "the document is larger than 900 KiB"}}
+		return nil, Problems{{Message: "the document is larger than 4 MiB"}}
 	}
 	reader, err := NewReader(text)
 	if err != nil {
--- a/pkg/document/reader.go
+++ b/pkg/document/reader.go
@@ -75,12 +75,16 @@
 	lines := map[string]int{}
 	counts := map[string]int{}
 	prefix := ""
+	line, counted := 1, 0
 	parser := unstable.Parser{}
 	parser.Reset(text)
 	for parser.NextExpression() {
 		expression := parser.Expression()
 		key, offset := keyOf(expression)
-		line := 1 + bytes.Count(text[:offset], []byte("\n"))
+		if offset > counted {
+			line += bytes.Count(text[counted:offset], []byte("\n"))
+			counted = offset
+		}
 		switch expression.Kind {
 		case unstable.ArrayTable:
 			prefix = fmt.Sprintf("%s[%d]", key, counts[key])
--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -2,11 +2,11 @@
 package query
 
 import (
-	"bytes"
 	"encoding/base64"
 	"encoding/json"
 	"unicode/utf8"
 
+	"github.com/go-json-experiment/json/jsontext"
 	"github.com/pkg/errors"
 )
 
@@ -30,27 +30,26 @@
 
 // MarshalJSON implements json.Marshaler.
 func (t Text) MarshalJSON() ([]byte, error) {
+	return t.append(nil)
+}
+
+// append adds the JSON form to a buffer.
+func (t Text) append(buffer []byte) ([]byte, error) {
 	if !utf8.Valid(t) {
-		return json.Marshal(encodedText{Base64: base64.StdEncoding.EncodeToString(t)})
-	}
-	var buffer bytes.Buffer
-	encoder := json.NewEncoder(&buffer)
-	encoder.SetEscapeHTML(false)
-	if err := encoder.Encode(string(t)); err != nil {
-		return nil, errors.WithStack(err)
+		buffer = append(buffer, `{"base64":"`...)
+		buffer = base64.StdEncoding.AppendEncode(buffer, t)
+		return append(buffer, `"}`...), nil
 	}
-	return bytes.TrimSuffix(buffer.Bytes(), []byte("\n")), nil
+	buffer, err := jsontext.AppendQuote(buffer, []byte(t))
+	return buffer, errors.WithStack(err)
 }
 
 // UnmarshalJSON implements json.Unmarshaler.
 func (t *Text) UnmarshalJSON(data []byte) error {
 	if len(data) > 0 && data[0] == '"' {
-		var text string
-		if err := json.Unmarshal(data, &text); err != nil {
-			return err
-		}
-		*t = Text(text)
-		return nil
+		text, err := jsontext.AppendUnquote(nil, data)
+		*t = text
+		return errors.WithStack(err)
 	}
 	var encoded encodedText
 	if err := json.Unmarshal(data, &encoded); err != nil {
@@ -61,6 +60,28 @@
 	return errors.WithStack(err)
 }
 
+// Texts is a list of texts. Its JSON form is that of its elements, written in
+// one piece, since an answer may have millions.
+type Texts []Text
+
+// MarshalJSON implements json.Marshaler.
+func (t Texts) MarshalJSON() (buffer []byte, err error) {
+	size := 2
+	for _, text := range t {
+		size += len(text) + len(text)/8 + 3
+	}
+	buffer = append(make([]byte, 0, size), '[')
+	for i, text := range t {
+		if i > 0 {
+			buffer = append(buffer, ',')
+		}
+		if buffer, err = text.append(buffer); err != nil {
+			return nil, err
+		}
+	}
+	return append(buffer, ']'), nil
+}
+
 // Request is one question or order of a caller.
 type Request struct {
 	// Kind names a kind of work in the document.
--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -59,6 +59,21 @@
 	return q.size
 }
 
+// Waiting returns the number of waiting items of a rank.
+func (q *Queue[T]) Waiting(rank int) int {
+	return len(q.ranks[rank])
+}
+
+// Ahead returns the number of waiting items that are at least as urgent as a
+// rank.
+func (q *Queue[T]) Ahead(rank int) int {
+	ahead := 0
+	for r := range min(rank+1, len(q.ranks)) {
+		ahead += len(q.ranks[r])
+	}
+	return ahead
+}
+
 // fairness is how much later in the order an item stands for each item that
 // its caller already has waiting.
 const fairness = time.Millisecond
--- a/pkg/upstream/protocol.go
+++ b/pkg/upstream/protocol.go
@@ -63,12 +63,12 @@
 // Reply is the body of an answer to a query. All outcomes but Done state that
 // the work did not run.
 type Reply struct {
-	RequestID string       `json:"requestId"`
-	Attempt   string       `json:"attempt"`
-	Shard     string       `json:"shard"`
-	Version   uint64       `json:"version,omitempty"`
-	Outcome   Outcome      `json:"outcome"`
-	Records   []query.Text `json:"records,omitempty"`
+	RequestID string      `json:"requestId"`
+	Attempt   string      `json:"attempt"`
+	Shard     string      `json:"shard"`
+	Version   uint64      `json:"version,omitempty"`
+	Outcome   Outcome     `json:"outcome"`
+	Records   query.Texts `json:"records,omitempty"`
 	// Scores is empty or as long as Records.
 	Scores []float64 `json:"scores,omitempty"`
 	Sums   []Sum     `json:"sums,omitempty"`
