--- a/internal/capacity/capacity_test.go
+++ b/internal/capacity/capacity_test.go
@@ -8,7 +8,11 @@
 	"testing"
 	"time"
 
+	"github.com/google/uuid"
+	"google.golang.org/protobuf/proto"
+
 	"github.com/bronzereach/bronzereach/internal/promotion"
+	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/document"
 )
 
@@ -72,6 +76,39 @@
 	return []byte(b.String())
 }
 
+// deltaSize is the size of the message that brings a change of one service,
+// with a history as long as it gets.
+func deltaSize(t *testing.T, text []byte) int {
+	t.Helper()
+	fresh := strings.Replace(string(text), "10.1.14.200:8000", "10.9.9.9:8000", 1)
+	record := promotion.Record{Promotion: uuid.NewString(), Digest: document.Digest([]byte(fresh)), Operator: "operator"}
+	for version := range 32 {
+		record.History = append(record.History, promotion.Past{
+			Promotion: uuid.NewString(),
+			Digest:    document.Digest([]byte{byte(version)}),
+			Version:   uint64(version),
+		})
+	}
+	bare, err := record.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	delta := promotion.Difference(string(text), fresh)
+	return proto.Size(&wire.Document{
+		Version: 33, Record: bare, BaseVersion: 32,
+		Prefix: uint32(delta.Prefix), Suffix: uint32(delta.Suffix), Middle: []byte(delta.Middle),
+	})
+}
+
+// claimSize is the size of a member's claim in an exchange.
+func claimSize() int {
+	return proto.Size(&wire.Exchange{Members: []*wire.Member{{
+		Vm: "entry-2900", Incarnation: 1 << 60, Revision: 3, State: 1,
+		AvailabilityZone: "almaty-region-a", Region: "almaty-region",
+		CallerAddress: "10.100.100.100:7000", PeerAddress: "10.100.100.100:7100",
+	}}})
+}
+
 // TestFullDocument checks that a document of the full size fits into a value of
 // the platform.
 func TestFullDocument(t *testing.T) {
@@ -87,6 +124,7 @@
 		t.Fatal(err)
 	}
 	t.Logf("%d services, %d bytes of text, %d bytes of record, parsed in %v", len(parsed.Services), len(text), len(value), took)
+	t.Logf("%d bytes of a delta of one service, %d bytes of a claim", deltaSize(t, text), claimSize())
 	if len(value) > 1<<20 {
 		t.Errorf("the record has %d bytes, a value holds 1 MB", len(value))
 	}
--- a/internal/entry/once.go
+++ b/internal/entry/once.go
@@ -150,8 +150,10 @@
 // lost answers a request whose claim was not won.
 func (o *onceRequest) lost(ctx context.Context, held claim.Claim, err error) *answer.Answer {
 	switch {
+	case err != nil && o.request.First:
+		return o.refuse(refusal{answer.CodeStoreDown, "the platform can't be asked for the claim; a ticket from a node works without it", true, time.Second})
 	case err != nil:
-		return o.refuse(refusal{answer.CodeStoreDown, "the platform can't be asked whether the request has run before; a ticket from a node works without it", true, time.Second})
+		return o.unknown(answer.CodeStoreDown, "the platform can't be asked whether the request has run before; it did not run now", true)
 	case held.Request != hashOf(o.request):
 		return o.refuse(refusal{code: answer.CodeKeyReused, message: "the key was used for another request; this one did not run"})
 	case held.Answer != nil:
--- a/internal/proof/once_test.go
+++ b/internal/proof/once_test.go
@@ -76,10 +76,15 @@
 func TestStoreOutage(t *testing.T) {
 	c := newCluster(t, 2)
 	c.platform.SetFaults(standin.Faults{Outage: true})
-	a := c.mustAsk(c.nodes[0], order("parcel own", "own"))
+	first := order("parcel own", "own")
+	first.First = true
+	a := c.mustAsk(c.nodes[0], first)
 	if a.Status != answer.NotRun || c.executions("orders", "parcel own") != 0 {
 		t.Errorf("own key: status %s, executions %d", a.Status, c.executions("orders", "parcel own"))
 	}
+	if a = c.mustAsk(c.nodes[0], order("parcel own", "own")); a.Status != answer.Unknown {
+		t.Errorf("own key, not the first time: status %s", a.Status)
+	}
 	a = c.mustAsk(c.nodes[1], order("parcel ticket", c.ticket(c.nodes[0])))
 	if a.Status != answer.RanOnce || c.executions("orders", "parcel ticket") != 1 {
 		t.Errorf("ticket: status %s, executions %d", a.Status, c.executions("orders", "parcel ticket"))
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -28,6 +28,9 @@
 	// LoseAnswers is the chance that a call's connection is cut after the call
 	// took effect.
 	LoseAnswers float64
+	// Unconditional makes writes ignore their conditions: a planted bug for the
+	// tests of the checks.
+	Unconditional bool
 	// Delay is added to every call.
 	Delay time.Duration
 }
@@ -209,7 +212,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if current := p.objects[key].version; current != expected {
+	if current := p.objects[key].version; current != expected && !p.faults.Unconditional {
 		w.Header().Set(platform.VersionHeader, strconv.FormatUint(current, 10))
 		w.WriteHeader(http.StatusPreconditionFailed)
 		return
--- a/pkg/assignment/assignment_test.go
+++ b/pkg/assignment/assignment_test.go
@@ -76,7 +76,7 @@
 }
 
 func BenchmarkCompute(b *testing.B) {
-	for _, size := range []struct{ members, services int }{{9, 25}, {90, 250}, {900, 2400}, {2900, 7334}} {
+	for _, size := range []struct{ members, services int }{{9, 25}, {90, 250}, {725, 7334}, {900, 2400}, {2900, 7334}} {
 		b.Run(fmt.Sprintf("members=%d/services=%d", size.members, size.services), func(b *testing.B) {
 			members, services := names("vm", size.members), NewServices(names("service", size.services))
 			for b.Loop() {
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -155,10 +155,6 @@
 // repeated carries a key, under which it runs at most once, and any other may
 // be repeated. A nil answer comes with an error.
 func (c *Client) Query(ctx context.Context, request query.Request) (a *answer.Answer, err error) {
-	body, err := json.Marshal(request)
-	if err != nil {
-		return nil, errors.WithStack(err)
-	}
 	if request.DeadlineMillis > 0 {
 		var cancel context.CancelFunc
 		ctx, cancel = context.WithTimeout(ctx, time.Duration(request.DeadlineMillis)*time.Millisecond+grace)
@@ -170,7 +166,9 @@
 	}
 	start := c.turn()
 	for try := range maximumTries {
-		a, err = c.send(ctx, list[(start+try)%len(list)], body)
+		a, err = c.send(ctx, list[(start+try)%len(list)], request)
+		// Whatever became of it, the next one is no longer the first.
+		request.First = false
 		if err == nil || ctx.Err() != nil {
 			return a, err
 		}
@@ -189,7 +187,11 @@
 	return c.next
 }
 
-func (c *Client) send(ctx context.Context, address string, body []byte) (a *answer.Answer, err error) {
+func (c *Client) send(ctx context.Context, address string, q query.Request) (a *answer.Answer, err error) {
+	body, err := json.Marshal(q)
+	if err != nil {
+		return nil, errors.WithStack(err)
+	}
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, c.config.Scheme+"://"+address+"/v1/query", bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.WithStack(err)
--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -94,6 +94,9 @@
 	// Key is required for a kind that is not to be repeated: a ticket from a
 	// node, or a key of the caller's own that is claimed in the platform.
 	Key string `json:"key,omitempty"`
+	// First says that nothing was sent under Key before. A node that can't ask
+	// the platform then knows that the request has not run.
+	First bool `json:"first,omitempty"`
 	// Caller names who asks, for fair shares within a rank.
 	Caller string `json:"caller,omitempty"`
 }
