--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -73,9 +73,11 @@
 	// AssignmentMillis is the time of one assignment of a region's members and
 	// all services.
 	AssignmentMillis float64
-	// RecordBytes is the size of a configuration record of 22,000 upstreams, and
-	// ParseMillis the time to read it.
+	// RecordBytes is the size of a change of a configuration of 22,000 upstreams
+	// on a link, WholeBytes that of the whole record, and ParseMillis the time to
+	// read it.
 	RecordBytes float64
+	WholeBytes  float64
 	ParseMillis float64
 	// SubRequestMicros is processor time of all nodes for one sub-request at
 	// 1,000 shards.
@@ -103,6 +105,7 @@
 		"claimBytes":       &slopes.ClaimBytes,
 		"assignmentMillis": &slopes.AssignmentMillis,
 		"recordBytes":      &slopes.RecordBytes,
+		"wholeBytes":       &slopes.WholeBytes,
 		"parseMillis":      &slopes.ParseMillis,
 		"subRequestMicros": &slopes.SubRequestMicros,
 	} {
@@ -136,6 +139,7 @@
 	claims := restartsSecond * claimsARestart * 2 * sendsFactor * (1 + math.Floor(math.Log2(nodes))) * s.ClaimBytes
 	config := changesSecond * 2 * s.RecordBytes
 	assignment := restartsSecond * claimsARestart * s.AssignmentMillis / 1000 / assignmentRegions
+	joins := restartsSecond / nodes * (s.WholeBytes + nodes*s.ClaimBytes) * 2
 	parse := changesSecond * s.ParseMillis / 1000
 	watchers := float64(zones * watchersPerZone)
 	subRequests := float64(queriesSecond) * fanOut / nodes
@@ -143,8 +147,9 @@
 	return []Line{
 		{"member", "bytes at rest", "smallBytes + (largeBytes-smallBytes)/(largeNodes-smallNodes) * (2900-smallNodes)", rest, 0, "B/s", "exchange with one random member 4 times a second; digests, then buckets that differ"},
 		{"member", "bytes for restarts", "1648/day * 4 claims * 2 directions * 3*(1+log2 2900) sends * claimBytes", claims, 0, "B/s", "claims sent along a bounded number of times"},
-		{"member", "bytes for configurations", "2600/day * 2 directions * recordBytes", config, 0, "B/s", "compressed record, fetched from a peer once"},
-		{"member", "bytes in all", "sum", rest + claims + config, limitBytes, "B/s", ""},
+		{"member", "bytes for configurations", "2600/day * 2 directions * recordBytes", config, 0, "B/s", "delta to the version before, fetched from a peer once; whole record if the version before is not there"},
+		{"member", "bytes for joining", "1648/day / 2900 * 2 * (wholeBytes + 2900 claims)", joins, 0, "B/s", "a new node fetches record and table once from a peer"},
+		{"member", "bytes in all", "sum", rest + claims + config + joins, limitBytes, "B/s", ""},
 		{"member", "processor at rest", "largest measured", s.RestProcessor, 0, "cores", "ticks that look at no list of all members"},
 		{"member", "processor for assignments", "1648/day * 4 claims / 4 regions * assignmentMillis", assignment, 0, "cores", "rendezvous hashing with a load bound, by region"},
 		{"member", "processor for configurations", "2600/day * parseMillis", parse, 0, "cores", "one parse of a document for each change"},
@@ -153,7 +158,7 @@
 		{"member", "configuration in force everywhere", "spreadRounds / 4 a second", spread, limitSeconds, "s", "each exchange names the version; who is behind fetches"},
 		{"watcher", "reads of the platform", "11 zones * 2 * (1/4 watches + 1 list) a second", watchers * (watchesASecond + listsASecond), limitReads, "calls/s", "two watchers a zone by hash order, no lease"},
 		{"watcher", "writes to the platform", "11 zones * 2 * 1/5 status + 2600/day", watchers*statusesASecond + changesSecond, limitWrites, "calls/s", "one status object a zone"},
-		{"watcher", "configuration object", "recordBytes", s.RecordBytes / 1e6, 1, "MB", "compressed record"},
+		{"watcher", "configuration object", "wholeBytes", s.WholeBytes / 1e6, 1, "MB", "compressed record"},
 		{"gate", "services a node", "22000 / 3 replicas / 2900", float64(upstreams) / replicas / nodes, 0, "services", "assignment"},
 		{"gate", "sub-requests a node", "590000 * 1000 / 2900", subRequests, 0, "a second", "batches of one request to one gate"},
 		{"entry and gate", "processor for traffic", "sub-requests * subRequestMicros", subRequests * s.SubRequestMicros / 1e6, 0, "cores", "not control; what VMs are sized by"},
