--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -29,6 +29,9 @@
 	// pauseLimit is the gap between two ticks after which the process must have
 	// been stopped for a while and no longer knows who is a gate.
 	pauseLimit = 1500 * time.Millisecond
+	// assignmentShare is how many times longer than an assignment took the next
+	// one waits: 1 in 50 is 2% of a core.
+	assignmentShare = 50
 	// lateTick is the gap between two ticks from which the node is slow.
 	lateTick = 250 * time.Millisecond
 	// contactWindow is how long an exchange counts as having heard a peer.
@@ -76,6 +79,9 @@
 	assigned  *assignment.Table
 	// generation is the table's as of the last assignment.
 	generation uint64
+	// nextAssignment keeps assignments to a share of the time in a burst of
+	// changes.
+	nextAssignment time.Time
 	// published is the table's generation as of the last view.
 	published uint64
 	// trusted is false after a pause until a peer has been heard again.
@@ -227,6 +233,10 @@
 	if c.document == nil || !c.trusted || c.assigned != nil && c.generation == c.table.Generation() {
 		return
 	}
+	start := time.Now()
+	if start.Before(c.nextAssignment) {
+		return
+	}
 	c.generation = c.table.Generation()
 	before := c.assigned
 	c.assigned = assignment.Compute(c.eligible(), c.services)
@@ -234,6 +244,7 @@
 	for _, service := range c.document.Services {
 		c.assign(ctx, service.Name, before)
 	}
+	c.nextAssignment = start.Add(assignmentShare * time.Since(start))
 }
 
 func (c *control) assign(ctx context.Context, service string, before *assignment.Table) {
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -154,19 +155,25 @@
 	c.contacts[message.GetFrom()] = now
 	c.trusted = true
 	for _, notice := range message.GetNotices() {
-		c.notice(notice)
+		c.notice(now, notice)
 	}
 	if message.GetConfigVersion() > c.version.Load() {
 		c.fetch(ctx, message.GetFrom())
 	}
 }
 
-// notice takes over news that an upstream leaves and passes them on.
-func (c *control) notice(notice *wire.Notice) {
+// notice takes over news that an upstream or a VM of the system leaves and
+// passes them on. A node that hears it of itself is no longer named and no
+// longer a gate; it serves on until it is told to end.
+func (c *control) notice(now time.Time, notice *wire.Notice) {
 	if !c.noticed.Add(notice.GetUpstream() + "\x00" + notice.GetIncarnation()) {
 		return
 	}
 	c.notices.Put(notice.GetUpstream(), notice)
+	own := c.table.Self()
+	if notice.GetUpstream() == own.PeerAddress && notice.GetIncarnation() == strconv.FormatUint(own.Incarnation, 10) {
+		c.table.Restate(now, member.Leaving)
+	}
 	c.node.gates.Notice(notice.GetUpstream(), notice.GetIncarnation())
 }
 
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"math/rand/v2"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -180,10 +181,16 @@
 	return false
 }
 
-// noticeLeaving passes on that an upstream is listed as leaving.
+// noticeLeaving passes on that an upstream, or one of the system's own VMs, is
+// listed as leaving.
 func (c *control) noticeLeaving(vm platform.VM, now time.Time) {
+	if m, found := c.table.Get(vm.Name); found && m.PeerAddress == vm.Address {
+		incarnation := strconv.FormatUint(m.Incarnation, 10)
+		c.notice(now, &wire.Notice{Upstream: vm.Address, Incarnation: incarnation, Sequence: uint64(now.UnixNano())})
+		return
+	}
 	if c.isUpstream(vm.Address) {
-		c.notice(&wire.Notice{Upstream: vm.Address, Sequence: uint64(now.UnixNano())})
+		c.notice(now, &wire.Notice{Upstream: vm.Address, Sequence: uint64(now.UnixNano())})
 	}
 }
 
