Zone cut off under load; fair shares at admission by kind and caller

Cause: a zone cut off was promised and not shown; fair shares existed at the gate only.

Change: links are dialled from the node's own IP; the test's relay cuts sources off; Shares divides a rank's grant among kinds and callers by worth.

TestShares: a caller that asks for 50 beside 1000 gets all of it.

Conclusion: answers during the cut wait for their deadline when gate and standby are both on the other side; this is truthful but slow.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -131,7 +131,7 @@
 
 // run admits the request, scatters it and builds the answer.
 func (e *Entry) run(ctx context.Context, view *View, kind document.Kind, request query.Request, id string, received time.Time) *answer.Answer {
-	weight, ok := e.reports.admit(kind.Target(), kind.Rank, id, received, len(view.Members))
+	weight, ok := e.reports.admit(kind, request.Caller, id, received, len(view.Members))
 	if !ok && !e.config.Direct {
 		return e.refuse(view, request, id, received, refusal{answer.CodeOverloaded, "there is more work of this rank than the upstreams can take", true, time.Second})
 	}
--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -39,10 +39,20 @@
 	described time.Time
 	// refused counts the requests refused since the last one admitted, by rank.
 	refused [admission.MaximumRanks]float64
+	// shares divides each rank among kinds and callers.
+	shares [admission.MaximumRanks]*admission.Shares
 	// lastAdmitted is when a request was last admitted, by rank.
 	lastAdmitted [admission.MaximumRanks]time.Time
 }
 
+func newTarget(name string, services []string) *target {
+	t := &target{name: name, services: services, dirty: true}
+	for rank := range t.shares {
+		t.shares[rank] = admission.NewShares()
+	}
+	return t
+}
+
 // reports is the table of the newest report of each service.
 type reports struct {
 	mu        sync.Mutex
@@ -70,7 +80,7 @@
 		name := service.Index + service.Pool
 		t, found := r.targets[name]
 		if !found {
-			t = &target{name: name, services: d.ServicesOf(name), dirty: true}
+			t = newTarget(name, d.ServicesOf(name))
 			r.targets[name] = t
 		}
 		r.owners[service.Name] = t
@@ -178,19 +188,22 @@
 	return converted
 }
 
-// admit decides a request of the rank. weight is the number of requests that
-// an admitted one stands for in the offered load.
-func (r *reports) admit(name string, rank int, requestID string, now time.Time, members int) (weight float64, ok bool) {
+// admit decides a request. weight is the number of requests that an admitted
+// one stands for in the offered load.
+func (r *reports) admit(kind document.Kind, caller, requestID string, now time.Time, members int) (weight float64, ok bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	t, found := r.targets[name]
+	t, found := r.targets[kind.Target()]
 	if !found {
 		return 1, true
 	}
 	r.refresh(t)
+	rank := kind.Rank
+	who := admission.Claimant{Kind: kind.Name, Caller: caller}
+	fraction := t.shares[rank].Fraction(now, who, kind.Worth, t.admitted[rank])
 	probe := probeInterval * time.Duration(1+members/probeMembers)
 	due := now.Sub(t.lastAdmitted[rank]) > probe
-	if !due && !admission.Admitted(xxhash.Sum64String(requestID), t.admitted[rank]) {
+	if !due && !admission.Admitted(xxhash.Sum64String(requestID), fraction) {
 		t.refused[rank]++
 		return 0, false
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -143,6 +143,7 @@
 		Clock:       n.recorder.Clock,
 		Timers:      n.timers,
 		Handler:     n,
+		Source:      n.source(),
 		TLS:         mutual,
 	})
 	n.gates = gate.New(gate.Config{
@@ -176,6 +177,16 @@
 	}
 }
 
+// source is the IP that the node's links to others come from: the one it
+// listens on for theirs.
+func (n *Node) source() net.IP {
+	address, ok := n.peers.Addr().(*net.TCPAddr)
+	if !ok || address.IP.IsUnspecified() {
+		return nil
+	}
+	return address.IP
+}
+
 // self is what the node states of itself at its start.
 func (n *Node) self() member.Member {
 	return member.Member{
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -52,6 +52,8 @@
 	Clock       *timeline.Clock
 	Timers      *timer.Service
 	Handler     Handler
+	// Source is the IP that links are dialled from; nil for any.
+	Source net.IP
 	// TLS is nil for plain TCP; otherwise both sides must show a certificate.
 	TLS *tls.Config
 }
@@ -288,6 +290,9 @@
 
 func (n *Network) connect(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: dialTimeout}
+	if n.config.Source != nil {
+		dialer.LocalAddr = &net.TCPAddr{IP: n.config.Source}
+	}
 	conn, err := dialer.DialContext(context.WithoutCancel(ctx), "tcp", address)
 	if err != nil {
 		return nil, errors.WithStack(err)
--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -69,6 +69,8 @@
 	command *exec.Cmd
 	caller  string
 	peer    string
+	// source is the node's own IP.
+	source string
 	// named is the peer address that the others know.
 	named string
 	// proxy stands between the other nodes and this one's peer address.
@@ -212,7 +214,8 @@
 func (c *cluster) start(vm string) *process {
 	c.t.Helper()
 	p := &process{vm: vm, stderr: &bytes.Buffer{}, exited: make(chan struct{})}
-	p.caller, p.peer = freeAddress(c.t), freeAddress(c.t)
+	p.source = fmt.Sprintf("127.0.0.%d", 10+len(c.nodes)%200)
+	p.caller, p.peer = freeAddress(c.t, "127.0.0.1"), freeAddress(c.t, p.source)
 	p.named = p.peer
 	if !c.config.bare {
 		p.interpose(c.t)
@@ -250,17 +253,18 @@
 	return p
 }
 
-// interpose puts the freezer and the proxy before the node's peer address.
+// interpose puts the freezer and the proxy before the node's peer address. The
+// freezer comes first, where it sees which node dials.
 func (p *process) interpose(t *testing.T) {
 	t.Helper()
-	p.freezer = newFreezer(t, p.peer)
 	p.proxy = toxiproxy.NewProxy()
-	p.proxy.Name, p.proxy.Listen, p.proxy.Upstream = p.vm, "127.0.0.1:0", p.freezer.listener.Addr().String()
+	p.proxy.Name, p.proxy.Listen, p.proxy.Upstream = p.vm, "127.0.0.1:0", p.peer
 	if err := p.proxy.Start(); err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(p.proxy.Stop)
-	p.named = p.proxy.Listen
+	p.freezer = newFreezer(t, p.proxy.Listen)
+	p.named = p.freezer.listener.Addr().String()
 }
 
 func (p *process) loop() {
@@ -310,14 +314,14 @@
 
 var nextPort = firstPort + os.Getpid()%1000*10
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
 	for range lastPort - firstPort {
 		nextPort++
 		if nextPort >= lastPort {
 			nextPort = firstPort
 		}
-		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		address := fmt.Sprintf("%s:%d", ip, nextPort)
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			_ = listener.Close()
--- a/internal/proof/freezer_test.go
+++ b/internal/proof/freezer_test.go
@@ -17,6 +17,9 @@
 	mu sync.Mutex
 	// frozen is closed for the connections opened before a freeze.
 	frozen chan struct{}
+	// cut holds the source IPs that nothing passes from, for open and new
+	// connections alike.
+	cut map[string]bool
 }
 
 func newFreezer(t *testing.T, target string) *freezer {
@@ -31,6 +34,26 @@
 	return f
 }
 
+// cutOff lets nothing pass between the sources and the target, until it is
+// called again with none.
+func (f *freezer) cutOff(sources ...string) {
+	f.mu.Lock()
+	f.cut = map[string]bool{}
+	for _, source := range sources {
+		f.cut[source] = true
+	}
+	f.mu.Unlock()
+	// Connections that were open cannot come back whole.
+	f.freeze()
+}
+
+// dark reports whether a source is cut off.
+func (f *freezer) dark(source net.Addr) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cut[source.(*net.TCPAddr).IP.String()]
+}
+
 // freeze silences the connections that are open now.
 func (f *freezer) freeze() {
 	f.mu.Lock()
@@ -45,6 +68,10 @@
 		if err != nil {
 			return
 		}
+		if f.dark(inward.RemoteAddr()) {
+			go hold(inward)
+			continue
+		}
 		outward, err := net.Dial("tcp", f.target)
 		if err != nil {
 			_ = inward.Close()
@@ -79,3 +106,9 @@
 	_ = from.Close()
 	_ = to.Close()
 }
+
+// hold reads a connection that leads nowhere.
+func hold(conn net.Conn) {
+	_, _ = io.Copy(io.Discard, conn)
+	_ = conn.Close()
+}
--- /dev/null
+++ b/internal/proof/zone_test.go
@@ -0,0 +1,74 @@
+package proof
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/bronzereach/bronzereach/pkg/answer"
+	"github.com/bronzereach/bronzereach/pkg/caller"
+)
+
+// cutZone cuts two groups of nodes off from each other, or heals the cut.
+func cutZone(a, b []*process, cut bool) {
+	for _, side := range [][2][]*process{{a, b}, {b, a}} {
+		var sources []string
+		if cut {
+			for _, p := range side[1] {
+				sources = append(sources, p.source)
+			}
+		}
+		for _, p := range side[0] {
+			p.freezer.cutOff(sources...)
+		}
+	}
+}
+
+// TestZoneCutOff cuts one availability zone off from the other under load: both
+// sides say the truth about coverage, no request that is not to be repeated
+// runs twice, no upstream sees more connections than its limit, and the zones
+// find each other again.
+func TestZoneCutOff(t *testing.T) {
+	c := newCluster(t, 4)
+	zones := [2][]*process{{c.nodes[0], c.nodes[2]}, {c.nodes[1], c.nodes[3]}}
+	var storms [2]*storm
+	for i, zone := range zones {
+		storms[i] = c.storm(caller.New(caller.Config{Seeds: []string{zone[0].caller}, AvailabilityZone: fmt.Sprintf("zone-%d", i)}))
+	}
+	tickets := make([]string, 10)
+	for i := range tickets {
+		tickets[i] = c.ticket(c.nodes[i%4])
+	}
+	cutZone(zones[0], zones[1], true)
+	time.Sleep(2 * time.Second)
+	for i, ticket := range tickets {
+		text := fmt.Sprintf("parcel %d", i)
+		for _, status := range c.askAll(order(text, ticket)) {
+			if status == answer.NotRun {
+				t.Errorf("%s: notRun, but a submission on the other side may run it", text)
+			}
+		}
+		if got := c.executions("orders", text); got != 1 {
+			t.Errorf("%s ran %d times", text, got)
+		}
+	}
+	cutZone(zones[0], zones[1], false)
+	c.awaitReady()
+	for i, s := range storms {
+		answers, failures := s.end()
+		incomplete := 0
+		for _, a := range answers {
+			checkAnswer(t, a)
+			if !a.Coverage.Complete {
+				incomplete++
+			}
+		}
+		t.Logf("zone %d: %d answers, %d incomplete, %d failures", i, len(answers), incomplete, len(failures))
+	}
+	for _, u := range slices.Concat(c.upstreams["records-0"], c.upstreams["orders"]) {
+		if _, connections := u.Peaks(); connections > 24 {
+			t.Errorf("an upstream saw %d connections, its limit is 24", connections)
+		}
+	}
+}
--- a/pkg/admission/admission_test.go
+++ b/pkg/admission/admission_test.go
@@ -113,3 +113,33 @@
 		m.Tick(now, 1000, Load{}, floors)
 	}
 }
+
+// TestShares: a greedy caller doesn't take what a modest one asks for, and
+// kinds share by weight.
+func TestShares(t *testing.T) {
+	s := NewShares()
+	now := time.Unix(0, 0)
+	modest, greedy, worthy := Claimant{"a", "modest"}, Claimant{"a", "greedy"}, Claimant{"b", "greedy"}
+	fractions := map[Claimant]float32{}
+	for range 3000 {
+		now = now.Add(time.Millisecond)
+		fractions[greedy] = s.Fraction(now, greedy, 1, 0.3)
+		fractions[worthy] = s.Fraction(now, worthy, 2, 0.3)
+		if now.UnixMilli()%20 == 0 {
+			fractions[modest] = s.Fraction(now, modest, 1, 0.3)
+		}
+	}
+	granted := 1000*float64(fractions[greedy]) + 1000*float64(fractions[worthy]) + 50*float64(fractions[modest])
+	if fractions[modest] < 1 {
+		t.Errorf("the modest caller gets %v", fractions[modest])
+	}
+	if ratio := fractions[worthy] / fractions[greedy]; ratio < 1.8 || ratio > 2.2 {
+		t.Errorf("shares by weight 2 to 1: %v", ratio)
+	}
+	if granted < 0.27*2050 || granted > 0.33*2050 {
+		t.Errorf("%v granted of a budget of %v", granted, 0.3*2050)
+	}
+	if got := s.Fraction(now, greedy, 1, 1); got != 1 {
+		t.Errorf("without overload %v", got)
+	}
+}
