--- a/pkg/admission/admission.go
+++ b/pkg/admission/admission.go
@@ -17,8 +17,10 @@
 	window = 250 * time.Millisecond
 	// drainTime is the time in which work that already waits is to be done.
 	drainTime = 500 * time.Millisecond
-	// target is the utilisation that admitted work is held to.
-	target = 0.97
+	// target is the admitted work as a fraction of the capacity. It is above 1,
+	// since an index takes the least of what its services admit, each of which
+	// errs; what waits takes the excess back.
+	target = 1.1
 	// minimumFraction keeps a trickle of each rank, so that its offered load
 	// stays known.
 	minimumFraction = 0.002
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -20,7 +20,7 @@
 	// a reply from the long tail doesn't make its upstream a slow one.
 	clip = 3.0
 	// holdWeight is the weight of the newest time in the mean slot time.
-	holdWeight = 0.02
+	holdWeight = 0.01
 	// latencyMemory is the time after which an unused upstream's excess latency
 	// is forgotten to 1/e.
 	latencyMemory = 15 * time.Second
