Last try before a suspect is called dead; hedged upstreams are seen slow; proofs joined

Change: every node tries a suspect once more itself, with twice the patience, and tells it of the suspicion; a lost attempt counts twice its time; audit() and a file for the storm of queries.

Conclusion: a censored time must be read as longer than it was seen.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -153,7 +153,11 @@
 // tick runs the systems over the tables.
 func (c *control) tick(ctx context.Context, now time.Time) error {
 	c.notePause(now)
-	c.noteChanges(c.table.Tick(now, c.health.Stretch()))
+	changed, due := c.table.Tick(now, c.health.Stretch())
+	c.noteChanges(changed)
+	for _, suspect := range due {
+		c.lastTry(ctx, suspect)
+	}
 	c.runGossip(ctx, now)
 	c.runJoin(now)
 	c.runAssignment(ctx)
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -17,7 +17,9 @@
 // Limits of gossip.
 const (
 	exchangeTimeout = 400 * time.Millisecond
-	fetchTimeout    = 5 * time.Second
+	// lastTryTimeout is the patience with a suspect before it is called dead.
+	lastTryTimeout = 2 * exchangeTimeout
+	fetchTimeout   = 5 * time.Second
 	// helperCount is the number of members asked to reach one that does not
 	// answer.
 	helperCount = 2
@@ -122,6 +124,44 @@
 	return false
 }
 
+// lastTry starts the exchange that decides whether a suspect is called dead.
+func (c *control) lastTry(ctx context.Context, suspect member.Member) {
+	message := c.newExchange()
+	message.Members = append(message.Members, toWire([]member.Member{suspect})...)
+	x := &exchange{
+		control: c,
+		partner: suspect,
+		message: message,
+		timeout: time.Duration(c.health.Stretch() * float64(lastTryTimeout)),
+	}
+	go x.loop(ctx)
+}
+
+// loop does the exchange and tells the control thread whether it was answered.
+func (x *exchange) loop(ctx context.Context) {
+	reply, err := x.ask(ctx, x.message)
+	if ctx.Err() == nil {
+		x.control.post(tried{partner: x.partner, message: reply, reached: err == nil})
+	}
+}
+
+// tried tells how the last try with a suspect ended.
+type tried struct {
+	partner member.Member
+	message *wire.Exchange
+	reached bool
+}
+
+func (e tried) apply(ctx context.Context, c *control, now time.Time) {
+	if e.reached {
+		c.take(ctx, now, e.message)
+	}
+	if c.table.Confirm(now, e.partner.VM, e.partner.Incarnation, e.reached) {
+		m, _ := c.table.Get(e.partner.VM)
+		c.noteChanges([]member.Member{m})
+	}
+}
+
 // exchanged tells that a member answered an exchange.
 type exchanged struct {
 	partner member.Member
--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -16,7 +16,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -24,15 +23,14 @@
 	"github.com/Shopify/toxiproxy"
 	"github.com/sirupsen/logrus"
 
+	"github.com/bronzereach/bronzereach/internal/entry"
 	"github.com/bronzereach/bronzereach/internal/node"
 	"github.com/bronzereach/bronzereach/internal/platform"
 	"github.com/bronzereach/bronzereach/internal/promotion"
 	"github.com/bronzereach/bronzereach/internal/standin"
 	"github.com/bronzereach/bronzereach/pkg/answer"
-	"github.com/bronzereach/bronzereach/pkg/caller"
 	"github.com/bronzereach/bronzereach/pkg/document"
 	"github.com/bronzereach/bronzereach/pkg/query"
-	"github.com/bronzereach/bronzereach/pkg/snapshot"
 )
 
 // program is the path of the program under test, built once.
@@ -429,15 +427,12 @@
 
 func (c *cluster) ticket(p *process) string {
 	c.t.Helper()
-	client := caller.New(caller.Config{Seeds: []string{p.caller}})
-	response, err := http.Get("http://" + p.caller + "/v1/tickets")
+	response, err := http.Get("http://" + p.caller + entry.TicketsPath)
 	if err != nil {
-		c.t.Fatal(err, client)
+		c.t.Fatal(err)
 	}
 	defer response.Body.Close()
-	var batch struct {
-		Tickets []string `json:"tickets"`
-	}
+	var batch entry.Tickets
 	if err := json.NewDecoder(response.Body).Decode(&batch); err != nil {
 		c.t.Fatal(err)
 	}
@@ -456,88 +451,3 @@
 	}
 	return count
 }
-
-// checkAnswer checks that an answer is true: one version, no record twice, and
-// its coverage equal to what it holds.
-func checkAnswer(t *testing.T, a *answer.Answer) {
-	t.Helper()
-	seen := map[string]bool{}
-	marker := fmt.Sprintf("of version %d", a.Snapshot.Version)
-	for _, record := range a.Records {
-		if !strings.HasSuffix(string(record), marker) {
-			t.Errorf("record %q in an answer of version %d", record, a.Snapshot.Version)
-		}
-		if seen[string(record)] {
-			t.Errorf("record %q twice", record)
-		}
-		seen[string(record)] = true
-	}
-	var ranges []snapshot.Range
-	for _, included := range a.Coverage.Included {
-		ranges = append(ranges, included.Ranges...)
-	}
-	fraction, tiled := snapshot.Measure(ranges)
-	if a.Coverage.Fraction != fraction || a.Coverage.Complete != tiled {
-		t.Errorf("coverage %v complete %t, its ranges say %v %t", a.Coverage.Fraction, a.Coverage.Complete, fraction, tiled)
-	}
-	if a.Coverage.Complete && a.Error == nil && len(a.Records) != recordCount {
-		t.Errorf("%d records in a complete answer, want %d", len(a.Records), recordCount)
-	}
-}
-
-// storm asks queries from several goroutines until stopped, and keeps every
-// answer.
-type storm struct {
-	cluster *cluster
-	stop    chan struct{}
-	group   sync.WaitGroup
-	mu      sync.Mutex
-	answers []*answer.Answer
-	errors  []error
-}
-
-// stormWorkers is the number of callers of a storm.
-const stormWorkers = 6
-
-func (c *cluster) storm(client *caller.Client) *storm {
-	s := &storm{cluster: c, stop: make(chan struct{})}
-	for range stormWorkers {
-		s.group.Add(1)
-		go s.loop(client)
-	}
-	return s
-}
-
-func (s *storm) loop(client *caller.Client) {
-	defer s.group.Done()
-	for {
-		select {
-		case <-s.stop:
-			return
-		case <-time.After(5 * time.Millisecond):
-		}
-		a, err := client.Query(context.Background(), query.Request{Kind: "search", Query: query.Text("record")})
-		s.mu.Lock()
-		if err != nil {
-			s.errors = append(s.errors, err)
-		} else {
-			s.answers = append(s.answers, a)
-		}
-		s.mu.Unlock()
-	}
-}
-
-// end stops the storm and returns what came of it.
-func (s *storm) end() ([]*answer.Answer, []error) {
-	close(s.stop)
-	s.group.Wait()
-	return s.answers, s.errors
-}
-
-func (c *cluster) client() *caller.Client {
-	var seeds []string
-	for _, p := range c.running() {
-		seeds = append(seeds, p.caller)
-	}
-	return caller.New(caller.Config{Seeds: seeds})
-}
--- a/internal/proof/rolling_test.go
+++ b/internal/proof/rolling_test.go
@@ -43,13 +43,7 @@
 	}
 	took := time.Since(start)
 	during, failures := s.end()
-	incomplete := 0
-	for _, a := range during {
-		checkAnswer(t, a)
-		if !a.Coverage.Complete {
-			incomplete++
-		}
-	}
+	incomplete := audit(t, during)
 	t.Logf("replaced in %v; p99 before %d µs of %d, during %d µs of %d; %d incomplete, %d failures",
 		took, p99(before), len(before), p99(during), len(during), incomplete, len(failures))
 	if incomplete > 0 || len(failures) > 0 || took > rollingLimit || float64(p99(during)) > rollingFactor*float64(p99(before)) {
--- a/internal/proof/together_test.go
+++ b/internal/proof/together_test.go
@@ -94,13 +94,7 @@
 	c.nodes[2].signal(t, syscall.SIGCONT)
 	c.awaitReady()
 	answers, _ := s.end()
-	incomplete := 0
-	for _, a := range answers {
-		checkAnswer(t, a)
-		if !a.Coverage.Complete {
-			incomplete++
-		}
-	}
+	incomplete := audit(t, answers)
 	t.Logf("%d answers, %d incomplete", len(answers), incomplete)
 	a := c.mustAsk(c.nodes[2], query.Request{Kind: "search", Query: query.Text("record")})
 	checkAnswer(t, a)
@@ -130,14 +124,7 @@
 		c.list()
 	}
 	answers, failures := s.end()
-	incomplete := 0
-	for _, a := range answers {
-		checkAnswer(t, a)
-		if !a.Coverage.Complete {
-			incomplete++
-			t.Logf("by %s: %+v %+v", a.Node, a.Coverage.Omitted, a.Error)
-		}
-	}
+	incomplete := audit(t, answers)
 	t.Logf("%d answers, %d incomplete, %d failures", len(answers), incomplete, len(failures))
 	if incomplete > 0 || len(failures) > 0 {
 		t.Errorf("%d incomplete, %d without an answer: %v", incomplete, len(failures), failures)
@@ -195,14 +182,7 @@
 	}
 	time.Sleep(2 * time.Second)
 	answers, failures := s.end()
-	incomplete := 0
-	for _, a := range answers {
-		checkAnswer(t, a)
-		if !a.Coverage.Complete {
-			incomplete++
-			t.Logf("%s after %d µs: %+v", a.RequestID, a.Times.TookMicros, a.Coverage.Omitted)
-		}
-	}
+	incomplete := audit(t, answers)
 	t.Logf("%d answers, %d incomplete, %d failures", len(answers), incomplete, len(failures))
 	if incomplete > 0 || len(failures) > 0 {
 		t.Errorf("%d incomplete, %d without an answer", incomplete, len(failures))
--- a/internal/proof/zone_test.go
+++ b/internal/proof/zone_test.go
@@ -57,13 +57,7 @@
 	c.awaitReady()
 	for i, s := range storms {
 		answers, failures := s.end()
-		incomplete := 0
-		for _, a := range answers {
-			checkAnswer(t, a)
-			if !a.Coverage.Complete {
-				incomplete++
-			}
-		}
+		incomplete := audit(t, answers)
 		t.Logf("zone %d: %d answers, %d incomplete, %d failures", i, len(answers), incomplete, len(failures))
 	}
 	for _, u := range slices.Concat(c.upstreams["records-0"], c.upstreams["orders"]) {
--- a/pkg/member/member_test.go
+++ b/pkg/member/member_test.go
@@ -103,8 +103,14 @@
 		t.Fatal("the suspicion is no news")
 	}
 	later := epoch.Add(tables[0].SuspectTimeout())
-	if changed := tables[0].Tick(later, 1); len(changed) != 1 || changed[0].State != Dead {
-		t.Fatalf("changed %v", changed)
+	if changed, due := tables[0].Tick(later, 1); len(changed) != 0 || len(due) != 1 {
+		t.Fatalf("changed %v, due %v", changed, due)
+	}
+	if tables[0].Confirm(later, "vm-0001", 1, true) {
+		t.Fatal("a suspect that was reached is called dead")
+	}
+	if !tables[0].Confirm(later, "vm-0001", 1, false) {
+		t.Fatal("a suspect that was not reached isn't called dead")
 	}
 	exchange(later, tables[0], tables[2])
 	if m, _ := tables[2].Get("vm-0001"); m.State != Dead {
@@ -143,7 +149,7 @@
 func TestTombstone(t *testing.T) {
 	table := NewTable(fresh(1), epoch)
 	table.Merge(epoch, []Member{fresh(2)})
-	table.Suspect(epoch, "vm-0002", false)
+	table.Suspect(epoch, "vm-0002", true)
 	table.Tick(epoch.Add(table.SuspectTimeout()), 1)
 	if _, found := table.Get("vm-0002"); !found {
 		t.Fatal("the dead were forgotten at once")
@@ -165,8 +171,8 @@
 		table := NewTable(fresh(1), epoch)
 		table.Merge(epoch, []Member{fresh(2)})
 		table.Suspect(epoch, "vm-0002", refused)
-		changed := table.Tick(epoch.Add(table.SuspectTimeout()), health.Stretch())
-		if dead := len(changed) == 1; dead != refused {
+		changed, due := table.Tick(epoch.Add(table.SuspectTimeout()), health.Stretch())
+		if dead := len(changed) == 1; dead != refused || len(due) > 0 {
 			t.Errorf("refused %t: dead %t after the time to refute", refused, dead)
 		}
 	}
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -41,6 +41,14 @@
 	changed time.Time
 }
 
+// suspicion is what a node knows of a suspect.
+type suspicion struct {
+	// refused is true if the VM itself said that no process listens.
+	refused bool
+	// due is true once the time to refute is over and the last try is under way.
+	due bool
+}
+
 // Table is one node's view of all members. The node's own row is always what
 // it states of itself.
 type Table struct {
@@ -55,16 +63,15 @@
 	generation uint64
 	// alive counts the rows that aren't dead.
 	alive int
-	// suspects holds the members whose time to refute is running; true if their
-	// VM itself said that no process listens.
-	suspects map[string]bool
+	// suspects holds the members whose time to refute is running.
+	suspects map[string]suspicion
 	// burial is when the table is next searched for the long dead.
 	burial time.Time
 }
 
 // NewTable returns a table with only the node itself.
 func NewTable(self Member, now time.Time) *Table {
-	t := &Table{self: self.VM, rows: map[string]*row{}, updates: NewSpread[string, Member](), suspects: map[string]bool{}}
+	t := &Table{self: self.VM, rows: map[string]*row{}, updates: NewSpread[string, Member](), suspects: map[string]suspicion{}}
 	t.put(self, now)
 	return t
 }
@@ -161,7 +168,7 @@
 	}
 	delete(t.suspects, m.VM)
 	if m.State == Suspect && change > 0 {
-		t.suspects[m.VM] = false
+		t.suspects[m.VM] = suspicion{}
 	}
 }
 
@@ -222,7 +229,9 @@
 		return false
 	}
 	if r.member.State == Suspect {
-		t.suspects[vm] = t.suspects[vm] || refused
+		known := t.suspects[vm]
+		known.refused = known.refused || refused
+		t.suspects[vm] = known
 		return false
 	}
 	state := Suspect
@@ -232,7 +241,7 @@
 	}
 	t.put(r.member.WithState(state), now)
 	if state == Suspect {
-		t.suspects[vm] = refused
+		t.suspects[vm] = suspicion{refused: refused}
 	}
 	return true
 }
@@ -244,28 +253,51 @@
 	return time.Duration(rounds * float64(suspectRound))
 }
 
-// Tick declares suspects dead whose time is over, forgets the long dead, and
-// returns the members that changed. stretch, at least 1, lengthens the time to
-// refute for a node that is slow itself.
-func (t *Table) Tick(now time.Time, stretch float64) (changed []Member) {
+// Tick declares suspects dead whose VM refused and whose time is over, and
+// forgets the long dead. It returns the members that changed, and the suspects
+// that are due for a last try by this node before it calls them dead: each node
+// sees for itself, so that a slow one doesn't bring down many. stretch, at least
+// 1, lengthens the time to refute for a node that is slow itself.
+func (t *Table) Tick(now time.Time, stretch float64) (changed []Member, due []Member) {
 	certain := t.SuspectTimeout()
 	doubtful := time.Duration(stretch * float64(certain))
-	for vm, refused := range t.suspects {
+	for vm, s := range t.suspects {
 		r := t.rows[vm]
-		timeout := doubtful
-		if refused {
-			timeout = certain
-		}
-		if now.Sub(r.changed) >= timeout {
+		waited := now.Sub(r.changed)
+		switch {
+		case s.refused && waited >= certain:
 			t.put(r.member.WithState(Dead), now)
 			changed = append(changed, t.rows[vm].member)
+		case !s.due && waited >= doubtful:
+			s.due = true
+			t.suspects[vm] = s
+			due = append(due, r.member)
 		}
 	}
 	if now.After(t.burial) {
 		t.burial = now.Add(burialInterval)
 		t.bury(now)
 	}
-	return changed
+	return changed, due
+}
+
+// Confirm notes how the last try with a suspect ended; it reports whether the
+// suspect is now called dead.
+func (t *Table) Confirm(now time.Time, vm string, incarnation uint64, reached bool) bool {
+	r, found := t.rows[vm]
+	if !found || r.member.State != Suspect || r.member.Incarnation != incarnation {
+		return false
+	}
+	if !reached {
+		t.put(r.member.WithState(Dead), now)
+		return true
+	}
+	// It lives and will refute once it hears of the suspicion.
+	s := t.suspects[vm]
+	s.due = false
+	t.suspects[vm] = s
+	r.changed = now
+	return false
 }
 
 func (t *Table) bury(now time.Time) {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -19,6 +19,9 @@
 	// clip bounds how far one reply can move the average, as a multiple of it:
 	// a reply from the long tail doesn't make its upstream a slow one.
 	clip = 3.0
+	// abandonedFactor is what the time of an attempt that was given up is
+	// multiplied by, in place of the time that it would have taken.
+	abandonedFactor = 2
 	// holdWeight is the weight of the newest time in the mean slot time.
 	holdWeight = 0.01
 	// latencyMemory is the time after which an unused upstream's excess latency
@@ -213,9 +216,9 @@
 		row.learn(took)
 		row.limit = min(float64(s.slots), row.limit+recovery*float64(s.slots))
 	case Abandoned:
-		// The attempt took at least this long.
+		// The attempt took longer than this; how much longer is not known.
 		if took.Seconds() > row.latency {
-			row.learn(took)
+			row.learn(abandonedFactor * took)
 		}
 	case Refused:
 		row.shed(now)
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -76,6 +76,22 @@
 	}
 }
 
+// TestHedgedUpstreamIsSeenSlow: an upstream whose replies are never waited for,
+// since hedges overtake them, is seen to be slow all the same.
+func TestHedgedUpstreamIsSeenSlow(t *testing.T) {
+	s := warm(2, 10*time.Millisecond, 10*time.Millisecond, 10*time.Millisecond)
+	for range 20 {
+		s.Start(1, epoch)
+		s.Finish(1, epoch, Abandoned, 38*time.Millisecond)
+		s.Start(0, epoch)
+		s.Finish(0, epoch, Succeeded, 10*time.Millisecond)
+	}
+	s.Tick(epoch)
+	if !s.rows[1].slow || s.rows[0].slow {
+		t.Errorf("slow: %t %t", s.rows[0].slow, s.rows[1].slow)
+	}
+}
+
 // TestTailDoesNotSlow: single slow replies don't make an upstream a slow one.
 func TestTailDoesNotSlow(t *testing.T) {
 	s := warm(2, 10*time.Millisecond, 10*time.Millisecond)
