--- a/internal/proof/truth_test.go
+++ b/internal/proof/truth_test.go
@@ -59,6 +59,7 @@
 	c := newCluster(t, 2)
 	for name, misbehaviour := range map[string]standin.Misbehaviour{
 		"truncated":    {Truncate: true},
+		"shortened":    {Shorten: true},
 		"swapped":      {Swap: true},
 		"otherVersion": {OtherVersion: true},
 		"shed":         {Shed: true},
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -50,7 +50,9 @@
 type Misbehaviour struct {
 	// Truncate cuts the body in half.
 	Truncate bool
-	// Swap answers with another request's identity.
+	// Shorten leaves out half of the records, and the end marker.
+	Shorten bool
+	// Swap answers with another request's identity and records.
 	Swap bool
 	// OtherVersion answers from a version that was not asked for.
 	OtherVersion bool
@@ -400,6 +402,26 @@
 	return records
 }
 
+// foreignRecord stands in replies that are not of the request or its version.
+const foreignRecord = "a record that was not asked for"
+
+// distort breaks a reply in the ways that keep it well-formed.
+func (m Misbehaviour) distort(reply *upstream.Reply) {
+	foreign := []query.Text{query.Text(foreignRecord)}
+	one := len(foreign)
+	if m.Shorten {
+		reply.Records, reply.End = reply.Records[:len(reply.Records)/2], nil
+	}
+	if m.Swap {
+		reply.RequestID, reply.Attempt = "another-request", "another-attempt"
+		reply.Records, reply.End = foreign, &one
+	}
+	if m.OtherVersion {
+		reply.Version++
+		reply.Records, reply.End = foreign, &one
+	}
+}
+
 func (u *Upstream) send(w http.ResponseWriter, reply upstream.Reply) {
 	end := len(reply.Records)
 	reply.End = &end
@@ -407,12 +429,7 @@
 	misbehave := u.misbehave
 	reply.Load = &upstream.Load{InFlight: u.inFlight, Queued: u.queued, Leaving: u.leaving}
 	u.mu.Unlock()
-	if misbehave.Swap {
-		reply.RequestID, reply.Attempt = "another-request", "another-attempt"
-	}
-	if misbehave.OtherVersion {
-		reply.Version++
-	}
+	misbehave.distort(&reply)
 	if !misbehave.Truncate {
 		writeJSON(w, reply)
 		return
