A gate that dies under a request that is not to be repeated; mismatched replies omit at once

Without the entry's guard against sending such a request to the next gate all tests still passed: no test killed the gate rather than the runner. Without the gate's check of versions the entry's own check left the shard waiting for its deadline.

Change: TestCrashOfTheGate; a reply of another version omits its shard at once.

Conclusion: the design held, the proof did not.

--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -283,11 +283,13 @@
 }
 
 func (s *scatter) include(shard snapshot.Shard, result shardResult) (restart bool) {
+	delete(s.pending, result.service)
 	if result.reply.GetVersion() != s.choice.Version {
 		s.entry.drop(s.id, "version")
+		s.omitted[result.service] = answer.CodeMismatch
+		s.mayHaveRun = true
 		return false
 	}
-	delete(s.pending, result.service)
 	s.parts[result.service] = part{gate: result.gate, reply: result.reply}
 	for _, r := range shard.Ranges {
 		s.covered += float64(r.High-r.Low) / float64(snapshot.KeySpace)
--- a/internal/proof/once_test.go
+++ b/internal/proof/once_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -129,6 +130,40 @@
 	}
 }
 
+// TestCrashOfTheGate kills the gate that runs a request for another entry: the
+// entry must not send it to the next gate.
+func TestCrashOfTheGate(t *testing.T) {
+	c := newCluster(t, 3)
+	for _, u := range c.upstreams["orders"] {
+		u.Misbehave(standin.Misbehaviour{Silent: true})
+	}
+	gate, entry := c.nodes[0], c.nodes[1]
+	for i, p := range c.nodes {
+		if status, _ := c.status(p); slices.Contains(status.Gates, "orders") {
+			gate, entry = p, c.nodes[(i+1)%len(c.nodes)]
+		}
+	}
+	answers := make(chan *answer.Answer, 1)
+	ticket := c.ticket(entry)
+	go func() {
+		a, _ := c.ask(entry, order("parcel", ticket))
+		answers <- a
+	}()
+	c.await("the request runs", func() bool { return c.executions("orders", "parcel") == 1 })
+	gate.signal(t, syscall.SIGKILL)
+	<-gate.exited
+	for _, u := range c.upstreams["orders"] {
+		u.Misbehave(standin.Misbehaviour{})
+	}
+	if a := <-answers; a == nil || a.Status != answer.Unknown {
+		t.Errorf("the answer is %+v", a)
+	}
+	c.awaitReady()
+	if got := c.executions("orders", "parcel"); got != 1 {
+		t.Errorf("ran %d times", got)
+	}
+}
+
 // TestKeyOfAnotherRequest uses one key for two requests: the second one does
 // not run.
 func TestKeyOfAnotherRequest(t *testing.T) {
