One Sleep in util in place of two

Cause: the same wait for a pause or a context stood in entry and node.

Change: util.Sleep serves both.

Conclusion: no behaviour changed.

--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -9,6 +9,7 @@
 
 	"github.com/bronzereach/bronzereach/internal/peer"
 	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/answer"
 	"github.com/bronzereach/bronzereach/pkg/document"
@@ -115,7 +116,7 @@
 	if s.whole(floor) {
 		return floor
 	}
-	sleep(ctx, resendPause*time.Duration(s.restarts))
+	util.Sleep(ctx, resendPause*time.Duration(s.restarts))
 	s.entry.describe(ctx, s.entry.config.View(), s.services())
 	if s.whole(floor) {
 		return floor
@@ -131,15 +132,6 @@
 	return ok && choice.Complete
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // pin chooses the snapshot and forgets what belongs to another one.
 func (s *scatter) pin(ctx context.Context, floor uint64) bool {
 	view := s.entry.config.View()
@@ -182,7 +174,7 @@
 		if time.Now().After(patience) || ctx.Err() != nil {
 			return choice, absent(services, choice), ok
 		}
-		sleep(ctx, resendPause)
+		util.Sleep(ctx, resendPause)
 		view = s.entry.config.View()
 	}
 }
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -13,6 +13,7 @@
 
 	"github.com/bronzereach/bronzereach/internal/platform"
 	"github.com/bronzereach/bronzereach/internal/promotion"
+	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/member"
 )
@@ -56,22 +57,13 @@
 // wait sleeps for a random part of the pause and doubles it.
 func (b *backoff) wait(ctx context.Context) {
 	b.pause = min(max(firstBackoff, 2*b.pause), longestBackoff)
-	sleep(ctx, b.pause/2+time.Duration(rand.Int64N(int64(b.pause/2))))
+	util.Sleep(ctx, b.pause/2+time.Duration(rand.Int64N(int64(b.pause/2))))
 }
 
 func (b *backoff) reset() {
 	b.pause = 0
 }
 
-func sleep(ctx context.Context, pause time.Duration) {
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // watchLoop waits on the configuration object while the node is a watcher or
 // has no configuration yet.
 func (c *control) watchLoop(ctx context.Context) error {
@@ -80,7 +72,7 @@
 	first := true
 	for ctx.Err() == nil {
 		if !first && !c.watching.Load() && c.version.Load() > 0 {
-			sleep(ctx, idlePause)
+			util.Sleep(ctx, idlePause)
 			continue
 		}
 		object, err := c.readConfig(ctx, key, first)
@@ -132,7 +124,7 @@
 			c.post(peersWanted{addresses: c.node.options.Peers})
 		}
 		if !c.joining.Load() && !c.watching.Load() {
-			sleep(ctx, idlePause)
+			util.Sleep(ctx, idlePause)
 			continue
 		}
 		vms, err := c.node.platform.VMs(ctx)
@@ -142,7 +134,7 @@
 		}
 		pause.reset()
 		c.post(vmsSeen{vms: vms})
-		sleep(ctx, vmInterval)
+		util.Sleep(ctx, vmInterval)
 	}
 	return ctx.Err()
 }
@@ -242,7 +234,7 @@
 	key := c.node.options.Environment + "/status/" + zone
 	version := uint64(0)
 	for ctx.Err() == nil {
-		sleep(ctx, statusInterval)
+		util.Sleep(ctx, statusInterval)
 		if !c.watching.Load() || ctx.Err() != nil {
 			continue
 		}
--- a/internal/node/trial.go
+++ b/internal/node/trial.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/bronzereach/bronzereach/internal/promotion"
+	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/pkg/document"
 	"github.com/bronzereach/bronzereach/pkg/query"
 )
@@ -83,7 +84,7 @@
 		if ctx.Err() != nil {
 			return false
 		}
-		sleep(ctx, controlInterval)
+		util.Sleep(ctx, controlInterval)
 	}
 	return true
 }
--- a/internal/util/util.go
+++ b/internal/util/util.go
@@ -2,9 +2,22 @@
 package util
 
 import (
+	"context"
+	"time"
+
 	"github.com/pkg/errors"
 )
 
+// Sleep waits for the pause or for the end of the context.
+func Sleep(ctx context.Context, pause time.Duration) {
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
 // Annotate adds a message to the error that result points at, if there is one.
 // It is meant for a single deferred call in a function with a named error.
 func Annotate(result *error, format string, arguments ...any) {
