--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -12,12 +12,17 @@
 	"github.com/pkg/errors"
 
 	"github.com/bronzereach/bronzereach/internal/node"
+	"github.com/bronzereach/bronzereach/platform"
 )
 
 // garbagePercent is how much the heap may grow, in percent of what is in use,
 // before garbage is collected.
 const garbagePercent = 400
 
+// memoryPercent is the part of a node's memory that the heap may take before
+// garbage is collected more often.
+const memoryPercent = 60
+
 // runNode runs one node until it fails or is told to end.
 func runNode(arguments []string, streams Streams) (int, error) {
 	flags, err := parseNode(arguments, streams.Err)
@@ -28,6 +33,9 @@
 	if err != nil {
 		return exitUsage, errors.WithMessage(errUsage, err.Error())
 	}
+	if options.Foreign != nil {
+		options.Adapt = platform.New
+	}
 	if flags.profile != "" {
 		stop, err := startProfile(flags.profile)
 		if err != nil {
@@ -37,7 +45,10 @@
 	}
 	// A node keeps little and makes much garbage.
 	debug.SetGCPercent(garbagePercent)
-	log := newLog(streams.Err)
+	if options.Foreign != nil && options.Foreign.MemoryBytes > 0 {
+		debug.SetMemoryLimit(options.Foreign.MemoryBytes * memoryPercent / 100)
+	}
+	log := newLog(streams.Out)
 	n, err := node.New(options, log)
 	if err != nil {
 		return exitFailed, err
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"io"
+	"os"
 	"strings"
 	"time"
 
@@ -21,6 +22,9 @@
 	exitUnknown    = 5
 )
 
+// settingsVariable names the settings file of a node started without -settings.
+const settingsVariable = "BRONZEREACH_SETTINGS"
+
 // usage is the help of the program.
 const usage = `bronzereach answers queries over many shards and explains each answer.
 
@@ -181,7 +185,7 @@
 
 func parseNode(arguments []string, out io.Writer) (options nodeOptions, err error) {
 	set, err := parse("node", arguments, out, func(set *flag.FlagSet) {
-		set.StringVar(&options.settings, "settings", "", "TOML file with the node's settings (required)")
+		set.StringVar(&options.settings, "settings", os.Getenv(settingsVariable), "TOML file with the node's settings (default $"+settingsVariable+")")
 		set.StringVar(&options.profile, "cpuprofile", "", "write a profile of processor time to this file")
 	})
 	if err != nil {
--- /dev/null
+++ b/internal/node/adapter.go
@@ -0,0 +1,147 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bronzereach/bronzereach/internal/entry"
+	"github.com/bronzereach/bronzereach/internal/util"
+	"github.com/bronzereach/bronzereach/pkg/member"
+)
+
+// Adapter connects a node to a platform other than the product's own: it brings
+// in configuration and upstreams, and serves callers in their protocol. The node
+// keeps members, spreads configurations between them and leaves in peace.
+type Adapter interface {
+	// Run brings in what the platform knows until the context ends.
+	Run(ctx context.Context) error
+	// Handler serves callers.
+	Handler() http.Handler
+	// Configure puts a configuration in force. It is called with versions that
+	// rise, by one goroutine.
+	Configure(version uint64, value []byte) error
+	// Ready reports whether callers can be served.
+	Ready() bool
+	// Leave makes answers tell callers to connect elsewhere.
+	Leave()
+	// InProgress returns the number of requests without an answer.
+	InProgress() int64
+	// Collectors returns the metrics to register.
+	Collectors() []prometheus.Collector
+}
+
+// Host is what a node does for its adapter.
+type Host interface {
+	// View returns the members and what else control published last.
+	View() *entry.View
+	// OfferConfig hands over a configuration that the platform holds. It is put
+	// in force if its version is higher than that of the present one.
+	OfferConfig(version uint64, value []byte)
+	// NoteStore tells whether the last call on the platform's store was answered.
+	NoteStore(err error)
+	// Options returns the node's settings.
+	Options() Options
+	// Log is the node's log.
+	Log() logr.Logger
+	// Registry gathers the node's metrics.
+	Registry() *prometheus.Registry
+}
+
+var _ Host = (*Node)(nil)
+
+// Options returns the node's settings.
+func (n *Node) Options() Options {
+	return n.options
+}
+
+// Log returns the node's log.
+func (n *Node) Log() logr.Logger {
+	return n.log
+}
+
+// Registry returns the node's metrics.
+func (n *Node) Registry() *prometheus.Registry {
+	return n.registry
+}
+
+// OfferConfig hands over a configuration that the platform holds.
+func (n *Node) OfferConfig(version uint64, value []byte) {
+	n.control.post(configOffered{version: version, value: value})
+}
+
+// configOffered is a configuration that the platform holds.
+type configOffered struct {
+	version uint64
+	value   []byte
+}
+
+func (e configOffered) apply(_ context.Context, c *control, now time.Time) {
+	c.adopt(e.version, e.value)
+	if e.version <= c.version.Load() {
+		c.confirmed = now
+	}
+}
+
+// NoteStore tells whether the last call on the platform's store was answered.
+func (n *Node) NoteStore(err error) {
+	n.control.post(storeNoted{err: err})
+}
+
+// storeNoted tells whether a call on the platform's store was answered.
+type storeNoted struct {
+	err error
+}
+
+func (e storeNoted) apply(_ context.Context, c *control, _ time.Time) {
+	c.storeTried = true
+	detail := ""
+	if e.err != nil {
+		detail = e.err.Error()
+	}
+	c.recordStore(e.err != nil, detail)
+}
+
+// peerLoop looks for peers while the node knows of none.
+func (c *control) peerLoop(ctx context.Context) error {
+	for ctx.Err() == nil {
+		c.post(peersMissed{})
+		util.Sleep(ctx, vmInterval)
+	}
+	return ctx.Err()
+}
+
+// peersMissed asks for links to the peers of the settings if the node knows of
+// fewer members than those.
+type peersMissed struct{}
+
+func (peersMissed) apply(ctx context.Context, c *control, now time.Time) {
+	var missing []string
+	for _, address := range c.node.options.Peers {
+		if !c.reachable(address) {
+			missing = append(missing, address)
+		}
+	}
+	peersWanted{addresses: missing}.apply(ctx, c, now)
+}
+
+// reachable reports whether a member that is not dead has the address.
+func (c *control) reachable(address string) bool {
+	for _, m := range c.table.Members() {
+		if m.PeerAddress == address && m.State != member.Dead {
+			return true
+		}
+	}
+	return false
+}
+
+// configured reports whether the node has a configuration to serve by.
+func (c *control) configured() bool {
+	if c.node.adapter != nil {
+		return c.node.adapter.Ready()
+	}
+	return c.document != nil
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -223,7 +223,7 @@
 	waited := now.Sub(c.started) > joinPatience
 	peersAsked := len(c.contacts) > 0 || waited
 	storeAsked := c.storeTried || waited
-	if c.document == nil || !peersAsked && !(c.storeTried && c.alone()) || !storeAsked {
+	if !c.configured() || !peersAsked && !(c.storeTried && c.alone()) || !storeAsked {
 		return
 	}
 	c.table.Restate(now, member.Ready)
@@ -345,6 +345,10 @@
 	if version <= c.version.Load() {
 		return
 	}
+	if c.node.adapter != nil {
+		c.adoptForeign(version, value)
+		return
+	}
 	record, parsed, err := promotion.ParseRecord(value)
 	if err != nil {
 		c.node.log.Error(err, "configRefused", "vm", c.node.options.VM, "configVersion", version)
@@ -367,6 +371,17 @@
 	})
 }
 
+// adoptForeign puts a configuration of another platform in force.
+func (c *control) adoptForeign(version uint64, value []byte) {
+	if err := c.node.adapter.Configure(version, value); err != nil {
+		c.node.log.Error(err, "configRefused", "vm", c.node.options.VM, "configVersion", version)
+		return
+	}
+	c.version.Store(version)
+	c.value = value
+	c.node.recorder.Record(timeline.Event{Name: timeline.ConfigApplied, ConfigVersion: version})
+}
+
 // keepDelta remembers how the text in force becomes that of a new version, for
 // the members that still have the old one.
 func (c *control) keepDelta(version uint64, record promotion.Record) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -64,6 +64,8 @@
 	control     *control
 	registry    *prometheus.Registry
 	keys        *keys.Store
+	// adapter is nil on the product's own platform.
+	adapter Adapter
 
 	view         atomic.Pointer[entry.View]
 	callers      net.Listener
@@ -168,8 +170,14 @@
 	})
 	n.registry = prometheus.NewRegistry()
 	n.registerMetrics()
+	handler := n.handler()
+	if n.options.Adapt != nil {
+		n.adapter = n.options.Adapt(n)
+		n.registry.MustRegister(n.adapter.Collectors()...)
+		handler = n.adapter.Handler()
+	}
 	n.callerServer = &http.Server{
-		Handler:           n.handler(),
+		Handler:           handler,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
@@ -223,15 +231,18 @@
 	ctx, cancel := context.WithCancel(ctx)
 	n.cancel = cancel
 	var group run.Group
-	for _, part := range []func(context.Context) error{
+	parts := []func(context.Context) error{
 		n.timers.Run,
 		n.network.Run,
 		n.control.run,
-		n.control.watchLoop,
-		n.control.vmLoop,
-		n.control.statusLoop,
 		func(ctx context.Context) error { return n.network.Serve(ctx, n.peers) },
-	} {
+	}
+	if n.adapter != nil {
+		parts = append(parts, n.adapter.Run, n.control.peerLoop)
+	} else {
+		parts = append(parts, n.control.watchLoop, n.control.vmLoop, n.control.statusLoop)
+	}
+	for _, part := range parts {
 		group.Add(func() error { return part(ctx) }, func(error) { cancel() })
 	}
 	group.Add(n.serveCallers, func(error) { n.stopCallers() })
@@ -265,7 +276,7 @@
 
 // Stop ends the node at once and returns the number of requests cut off.
 func (n *Node) Stop() int64 {
-	cut := n.entry.InProgress()
+	cut := n.inProgress()
 	n.cancel()
 	return cut
 }
@@ -281,12 +292,15 @@
 func (n *Node) Leave(ctx context.Context) error {
 	n.recorder.Record(timeline.Event{Name: timeline.NodeLeaving})
 	n.control.leave()
+	if n.adapter != nil {
+		n.adapter.Leave()
+	}
 	select {
-	case <-time.After(entry.AddressLife + time.Second):
+	case <-time.After(n.options.LeaveTime):
 	case <-ctx.Done():
 		return errors.WithStack(ctx.Err())
 	}
-	for n.entry.InProgress() > 0 || n.gates.Busy() {
+	for n.inProgress() > 0 || n.gates.Busy() {
 		select {
 		case <-time.After(10 * time.Millisecond):
 		case <-ctx.Done():
@@ -296,3 +310,11 @@
 	n.cancel()
 	return nil
 }
+
+// inProgress returns the number of requests without an answer.
+func (n *Node) inProgress() int64 {
+	if n.adapter != nil {
+		return n.adapter.InProgress()
+	}
+	return n.entry.InProgress()
+}
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -3,12 +3,15 @@
 import (
 	"net"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/bronzereach/bronzereach/internal/entry"
 	"github.com/bronzereach/bronzereach/internal/gate"
 	"github.com/bronzereach/bronzereach/internal/keys"
 	"github.com/bronzereach/bronzereach/internal/util"
+	"github.com/bronzereach/bronzereach/pkg/budget"
 	"github.com/bronzereach/bronzereach/pkg/document"
 )
 
@@ -35,6 +38,31 @@
 	Mode gate.Mode
 	// DirectNodes is the number of nodes that share the slots in direct mode.
 	DirectNodes int
+	// LeaveTime is how long a leaving node serves callers that may still know
+	// its address.
+	LeaveTime time.Duration
+	// Foreign describes a platform other than the product's own; nil for that.
+	Foreign *ForeignOptions
+	// Adapt makes the adapter to it; set together with Foreign.
+	Adapt func(Host) Adapter
+}
+
+// ForeignOptions are the settings that a node needs on a platform other than
+// the product's own. Addresses are host:port.
+type ForeignOptions struct {
+	// Store is the platform's object store.
+	Store string
+	// Readiness, Directory and Metrics are where the node tells whether it is
+	// ready, which nodes there are, and its metrics.
+	Readiness string
+	Directory string
+	Metrics   string
+	// AddressLife is how long callers keep the list of nodes.
+	AddressLife time.Duration
+	// Budget bounds attempts beyond the first, over all nodes.
+	Budget budget.Config
+	// MemoryBytes is what the process may use.
+	MemoryBytes int64
 }
 
 // Production is the environment that takes only documents that passed trial.
@@ -47,6 +75,7 @@
 		Environment: Production,
 		Mode:        gate.Gated,
 		DirectNodes: 1,
+		LeaveTime:   entry.AddressLife + time.Second,
 	}
 }
 
@@ -75,7 +104,9 @@
 	options.PeerAddress = readAddress(root, "peerAddress")
 	options.CallerListen = root.TextOr("callerListen", "")
 	options.PeerListen = root.TextOr("peerListen", "")
-	options.Platform = root.Text("platform")
+	if !root.Has("foreign") {
+		options.Platform = root.Text("platform")
+	}
 	options.Environment = root.TextOr("environment", options.Environment)
 	options.Peers = root.TextsOr("peers")
 	options.Keys = keys.Files{
@@ -94,9 +125,41 @@
 		root.Problemf("mode", "mode must be \"gate\" or \"direct\"")
 	}
 	options.DirectNodes = root.CountOr("directNodes", options.DirectNodes)
+	options.LeaveTime = root.DurationOr("leaveTime", options.LeaveTime)
+	options.Foreign = readForeign(root)
 	return options, reader.Finish()
 }
 
+// Settings of a foreign platform that a file need not give.
+const (
+	defaultAddressLife  = 1200 * time.Millisecond
+	defaultBudgetPeriod = 10 * time.Second
+	defaultBudgetRatio  = 0.1
+	megabyte            = 1 << 20
+)
+
+// readForeign reads the table "foreign"; nil if there is none.
+func readForeign(root *document.Table) *ForeignOptions {
+	table := root.Table("foreign")
+	if table == nil {
+		return nil
+	}
+	defer table.Done()
+	return &ForeignOptions{
+		Store:       readAddress(table, "store"),
+		Readiness:   readAddress(table, "readiness"),
+		Directory:   readAddress(table, "directory"),
+		Metrics:     readAddress(table, "metrics"),
+		AddressLife: table.DurationOr("addressLife", defaultAddressLife),
+		Budget: budget.Config{
+			Ratio:  table.NumberOr("extraAttemptsRatio", defaultBudgetRatio),
+			Slack:  table.NumberOr("extraAttemptsSlack", 0),
+			Period: table.DurationOr("extraAttemptsPeriod", defaultBudgetPeriod),
+		},
+		MemoryBytes: int64(table.NumberOr("memoryMegabytes", 0) * megabyte),
+	}
+}
+
 func readAddress(root *document.Table, key string) string {
 	address := root.Text(key)
 	if _, _, err := net.SplitHostPort(address); address != "" && err != nil {
--- /dev/null
+++ b/internal/relay/plan.go
@@ -0,0 +1,107 @@
+package relay
+
+import "time"
+
+// Parts of a route's objective.
+const (
+	// firstHedge and lastHedge bound when a second replica is asked.
+	firstHedge = 0.08
+	lastHedge  = 0.40
+	// callerDelay is the part of the objective left for the way to the caller
+	// and back.
+	callerDelay = 6 * time.Millisecond
+	// patience is how long, in objectives, an answer that is late already waits
+	// for its last shards.
+	patience = 3.0
+	// shortestRetry and longestRetry bound what a refused caller is told.
+	shortestRetry = 50 * time.Millisecond
+	longestRetry  = 2 * time.Second
+)
+
+// plan is when a flight does what. Its decisions are pure.
+type plan struct {
+	// hedgeAt is when shards without a reply get a second attempt.
+	hedgeAt time.Time
+	hedged  bool
+	// answerAt is when an answer goes out without its last shards.
+	answerAt time.Time
+	// lateAt is when an answer that could not go out at answerAt goes out.
+	lateAt time.Time
+	// limit is when the request must have its answer.
+	limit time.Time
+	// least is the number of shards that make a success.
+	least int
+	shard bool
+}
+
+// newPlan plans a request. The usual delay is the time after which a reply
+// counts as a straggler; 0 if that is not known.
+func newPlan(request *Request, usual time.Duration) plan {
+	matched := request.Route
+	objective := matched.Objective
+	limit := request.limit()
+	if objective <= 0 {
+		objective = limit.Sub(request.Received)
+	}
+	earliest := time.Duration(firstHedge * float64(objective))
+	latest := time.Duration(lastHedge * float64(objective))
+	delay := latest
+	if usual > 0 {
+		delay = min(max(usual, earliest), latest)
+	}
+	p := plan{
+		hedgeAt:  request.Received.Add(delay),
+		answerAt: request.Received.Add(objective - callerDelay - answerMargin),
+		lateAt:   request.Received.Add(time.Duration(patience * float64(objective))),
+		limit:    limit.Add(-2 * answerMargin),
+		least:    1,
+		shard:    len(matched.Shards) > 0,
+	}
+	if p.shard {
+		p.least = matched.LeastShards()
+	}
+	return p
+}
+
+// enough reports whether an answer with the given shards goes out now. While
+// it is in time, an answer with a part left out is worth more than a late one;
+// once it is late, it waits a while for what is missing.
+func (p *plan) enough(now time.Time, done, all int) bool {
+	if !p.shard || done < p.least {
+		return false
+	}
+	if done == all || !now.Before(p.lateAt) {
+		return true
+	}
+	return !now.Before(p.answerAt)
+}
+
+// next returns when the flight has something to decide next.
+func (p *plan) next(now time.Time, done int) time.Time {
+	if !p.hedged && now.Before(p.hedgeAt) {
+		return p.hedgeAt
+	}
+	if !p.hedged {
+		return now
+	}
+	if p.shard && done >= p.least && now.Before(p.answerAt) {
+		return minTime(p.answerAt, p.limit)
+	}
+	return p.limit
+}
+
+// budget returns a usual time after which a refused caller may come back.
+func (p *plan) budget() time.Duration {
+	return p.answerAt.Sub(p.hedgeAt)
+}
+
+func minTime(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+func clampRetry(wait time.Duration) time.Duration {
+	return min(max(wait, shortestRetry), longestRetry)
+}
--- /dev/null
+++ b/internal/relay/relay.go
@@ -0,0 +1,281 @@
+// Package relay carries callers' requests to upstreams that speak a protocol
+// of their own: one upstream of a service, or one upstream of each shard, whose
+// replies it merges. Which protocol that is, a Protocol tells.
+package relay
+
+// Who sends which event to whom:
+//
+//	callers ──Request──▶ Relay ──▶ flight ──exchange──▶ attempt ──HTTP──▶ upstream
+//	        ◀──Answer───             ▲  ◀────result──────
+//	                                 │
+//	SetTable, SetUpstreams ──▶ state (table, services)
+//
+// A flight runs on its caller's goroutine and each attempt on its own. What is
+// known of the replicas of a service is under that service's lock.
+
+import (
+	"context"
+	"math"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/bronzereach/bronzereach/pkg/budget"
+	"github.com/bronzereach/bronzereach/pkg/route"
+	"github.com/bronzereach/bronzereach/pkg/upstream"
+)
+
+const (
+	// defaultDeadline bounds requests that come without a deadline.
+	defaultDeadline = 30 * time.Second
+	// startRetryAfter is how long a caller is asked to wait while the node does
+	// not know its configuration or upstreams yet.
+	startRetryAfter = 500 * time.Millisecond
+	// goldenRatio spreads successive points evenly over [0, 1).
+	goldenRatio = 0.6180339887498949
+)
+
+// Config describes a Relay.
+type Config struct {
+	VM               string
+	AvailabilityZone string
+	Protocol         Protocol
+	// Budget bounds attempts beyond the first, over all nodes.
+	Budget budget.Config
+	// Nodes returns how many nodes share budgets and connections.
+	Nodes func() int
+	Log   logr.Logger
+}
+
+// Relay holds what is known of routes and upstreams.
+type Relay struct {
+	config  Config
+	started time.Time
+	// Metrics counts what the relay does.
+	Metrics *Metrics
+
+	// mu guards the writing of state.
+	mu    sync.Mutex
+	state atomic.Pointer[state]
+
+	inProgress atomic.Int64
+	splits     atomic.Uint64
+	delays     delays
+	lines      lineBudget
+}
+
+// state is one consistent view of the outside. It is immutable.
+type state struct {
+	table *route.Table
+	// services holds every service that has or had an upstream.
+	services map[string]*service
+	// known is true once the upstreams have been heard of.
+	known bool
+}
+
+// New returns a relay that knows nothing yet.
+func New(config Config) *Relay {
+	r := &Relay{config: config, started: time.Now(), Metrics: newMetrics()}
+	r.state.Store(&state{})
+	return r
+}
+
+// SetTable puts a table in force. A table with a lower version than the present
+// one is ignored.
+func (r *Relay) SetTable(table *route.Table) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.state.Load()
+	if old.table != nil && table.Version() <= old.table.Version() {
+		return
+	}
+	next := *old
+	next.table = table
+	r.state.Store(&next)
+	r.bound(&next)
+}
+
+// SetUpstreams replaces what is known of all upstreams.
+func (r *Relay) SetUpstreams(registrations []upstream.Registration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	old := r.state.Load()
+	next := state{table: old.table, known: true, services: make(map[string]*service, len(old.services))}
+	byService := map[string][]upstream.Registration{}
+	for _, registration := range registrations {
+		byService[registration.Service] = append(byService[registration.Service], registration)
+	}
+	for name, s := range old.services {
+		next.services[name] = s
+	}
+	for name := range byService {
+		if next.services[name] == nil {
+			next.services[name] = newService(r, name)
+		}
+	}
+	now := time.Now()
+	for name, s := range next.services {
+		s.sync(now, byService[name])
+	}
+	r.state.Store(&next)
+	r.bound(&next)
+}
+
+// connectionPart is the part of an upstream's connections that the nodes use,
+// so that one that starts finds some left.
+const connectionPart = 0.8
+
+// bound sets how many connections the node may hold at each upstream.
+func (r *Relay) bound(s *state) {
+	nodes := max(r.config.Nodes(), 1)
+	for name, group := range s.services {
+		limit := math.MaxInt32
+		if settings, found := s.table.Service(name); found && settings.Connections > 0 {
+			limit = int(connectionPart * float64(settings.Connections) / float64(nodes))
+		}
+		group.setConnections(limit)
+	}
+}
+
+// Tick brings bounds that depend on the number of nodes up to date.
+func (r *Relay) Tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.bound(r.state.Load())
+}
+
+// Known reports whether the relay can serve: it has a table and has heard of
+// upstreams.
+func (r *Relay) Known() bool {
+	s := r.state.Load()
+	return s.table != nil && s.known
+}
+
+// Table returns the table in force; nil before the first.
+func (r *Relay) Table() *route.Table {
+	return r.state.Load().table
+}
+
+// InProgress returns the number of requests without an answer.
+func (r *Relay) InProgress() int64 {
+	return r.inProgress.Load()
+}
+
+// Do answers a request. It returns early if the context ends, which means that
+// the caller has left.
+func (r *Relay) Do(ctx context.Context, request *Request) *Answer {
+	r.inProgress.Add(1)
+	defer r.inProgress.Add(-1)
+	if request.Deadline.IsZero() {
+		request.Deadline = request.Received.Add(defaultDeadline)
+	}
+	answer := r.answer(ctx, request)
+	r.note(request, answer)
+	return answer
+}
+
+func (r *Relay) answer(ctx context.Context, request *Request) *Answer {
+	s := r.state.Load()
+	if s.table == nil {
+		return refusal(ReasonNoConfig, startRetryAfter)
+	}
+	matched := s.table.Find(request.Host, request.Path)
+	if matched == nil {
+		return &Answer{Outcome: NoRoute, Reason: ReasonNoRoute, ConfigVersion: s.table.Version()}
+	}
+	request.Route = matched
+	f := r.newFlight(request, s)
+	answer := f.run(ctx)
+	answer.ConfigVersion = s.table.Version()
+	return answer
+}
+
+// services returns the names of the services that one request goes to.
+func (r *Relay) services(matched *route.Route) []string {
+	if len(matched.Shards) > 0 {
+		return matched.Shards
+	}
+	if len(matched.Targets) == 1 {
+		return []string{matched.Targets[0].Service}
+	}
+	point := float64(r.splits.Add(1)) * goldenRatio
+	return []string{matched.Pick(point - math.Floor(point))}
+}
+
+// service is one service and its replicas at this node.
+type service struct {
+	name  string
+	relay *Relay
+	// requests is closed over by nobody; mu guards all below.
+	mu     sync.Mutex
+	group  *group
+	window *budget.Window
+	random *rand.Rand
+}
+
+func newService(r *Relay, name string) *service {
+	s := &service{
+		name:   name,
+		relay:  r,
+		window: budget.NewWindow(r.config.Budget),
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+	s.group = newGroup(name, r.config.AvailabilityZone)
+	return s
+}
+
+func (s *service) sync(now time.Time, registrations []upstream.Registration) {
+	s.mu.Lock()
+	ended := s.group.Sync(now, registrations)
+	s.mu.Unlock()
+	for _, target := range ended {
+		target.Owned.closeIdle()
+	}
+}
+
+func (s *service) setConnections(limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.group.SetConnections(limit)
+}
+
+// begin counts a request and chooses the replica of its first attempt; nil if
+// there is none.
+func (s *service) begin(now time.Time) *target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.window.Request(now.Sub(s.relay.started))
+	return s.choose(now, nil)
+}
+
+// again chooses a replica for a further attempt, within the budget; nil if
+// there is none.
+func (s *service) again(now time.Time, tried []*target) *target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	chosen := s.group.Choose(now, tried, s.random)
+	if chosen == nil || !s.window.Spend(now.Sub(s.relay.started), s.relay.config.Nodes()) {
+		return nil
+	}
+	s.group.Start(chosen, now)
+	return chosen
+}
+
+func (s *service) choose(now time.Time, tried []*target) *target {
+	chosen := s.group.Choose(now, tried, s.random)
+	if chosen != nil {
+		s.group.Start(chosen, now)
+	}
+	return chosen
+}
+
+// usable returns the number of replicas that may get attempts and the time
+// until another one may.
+func (s *service) usable(now time.Time) (int, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.group.Usable(now)
+}
--- a/pkg/document/reader.go
+++ b/pkg/document/reader.go
@@ -177,6 +177,19 @@
 	return tables
 }
 
+// Table returns a table within the table; nil if there is none.
+func (t *Table) Table(key string) *Table {
+	if !t.Has(key) {
+		return nil
+	}
+	values, ok := t.values[key].(map[string]any)
+	if !ok {
+		t.Problemf(key, "%s must be a table: [%s]", key, key)
+		return nil
+	}
+	return &Table{reader: t.reader, path: join(t.path, key), values: values, known: map[string]bool{}}
+}
+
 // Done reports the keys of the table that nothing has asked for.
 func (t *Table) Done() {
 	t.unknown()
--- /dev/null
+++ b/pkg/replica/group.go
@@ -0,0 +1,225 @@
+package replica
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/bronzereach/bronzereach/pkg/upstream"
+)
+
+// Costs that a Group adds to the expected time of a replica.
+const (
+	// remoteCost stands for the way to another availability zone and back.
+	remoteCost = time.Millisecond
+	// coldFactor is how much slower a replica is expected to be just after its
+	// start.
+	coldFactor = 1.6
+	// lostFactor is how many times longer than expected an attempt without an
+	// answer lasts before its replica counts as failed.
+	lostFactor = 8.0
+)
+
+// Replica is one upstream of a Group. C is what the owner keeps with it, such
+// as its connections.
+type Replica[C any] struct {
+	// Registration is replaced when the upstream announces something new.
+	Registration upstream.Registration
+	Owned        C
+	row          row
+	coldUntil    time.Time
+	// shedUntil is the time before which other replicas are preferred.
+	shedUntil time.Time
+}
+
+// Group is the upstreams of one service as they come and go, and the choice
+// between them. It reads no clock and is not safe for concurrent use.
+type Group[C any] struct {
+	service string
+	zone    string
+	make    func(upstream.Registration) C
+	// connections is the number of attempts that may be in progress at one
+	// replica.
+	connections int
+	replicas    []*Replica[C]
+	// median is the middle latency in seconds, as of the last Finish.
+	median float64
+}
+
+// GroupConfig describes a Group.
+type GroupConfig[C any] struct {
+	Service string
+	// AvailabilityZone is that of the node.
+	AvailabilityZone string
+	// Make returns what the owner keeps with a new replica.
+	Make func(upstream.Registration) C
+}
+
+// NewGroup returns a group without replicas.
+func NewGroup[C any](config GroupConfig[C]) *Group[C] {
+	return &Group[C]{service: config.Service, zone: config.AvailabilityZone, make: config.Make, connections: 1}
+}
+
+// SetConnections bounds the attempts in progress at one replica.
+func (g *Group[C]) SetConnections(count int) {
+	g.connections = max(count, 1)
+}
+
+// Sync takes over which upstreams there are and returns those that ended.
+// What is known of the others stays.
+func (g *Group[C]) Sync(now time.Time, registrations []upstream.Registration) (ended []*Replica[C]) {
+	next := make([]*Replica[C], 0, len(registrations))
+	for _, registration := range registrations {
+		replica := g.find(registration)
+		if replica == nil {
+			replica = &Replica[C]{Owned: g.make(registration)}
+		}
+		replica.Registration = registration
+		replica.row.leaving = replica.row.leaving || registration.Leaving
+		replica.coldUntil = now.Add(registration.Cold)
+		next = append(next, replica)
+	}
+	for _, old := range g.replicas {
+		if !slices.Contains(next, old) {
+			old.row.leaving = true
+			ended = append(ended, old)
+		}
+	}
+	g.replicas = next
+	return ended
+}
+
+func (g *Group[C]) find(registration upstream.Registration) *Replica[C] {
+	for _, replica := range g.replicas {
+		if replica.Registration.SameProcess(registration) {
+			return replica
+		}
+	}
+	return nil
+}
+
+// Choose returns the replica with the lowest expected time that may get an
+// attempt and hasn't been tried, or nil. Those far slower than the others, or
+// that shed a moment ago, come last.
+func (g *Group[C]) Choose(now time.Time, tried []*Replica[C], random *rand.Rand) *Replica[C] {
+	if len(g.replicas) == 0 {
+		return nil
+	}
+	var best, last *Replica[C]
+	bestCost, lastCost := math.Inf(1), math.Inf(1)
+	start := random.IntN(len(g.replicas))
+	for offset := range g.replicas {
+		replica := g.replicas[(start+offset)%len(g.replicas)]
+		if !replica.row.usable(now) || replica.row.inFlight >= g.connections || slices.Contains(tried, replica) {
+			continue
+		}
+		cost := g.cost(replica, now)
+		if g.secondary(replica, now) {
+			if cost < lastCost {
+				last, lastCost = replica, cost
+			}
+			continue
+		}
+		if cost < bestCost {
+			best, bestCost = replica, cost
+		}
+	}
+	if best == nil {
+		return last
+	}
+	return best
+}
+
+func (g *Group[C]) cost(replica *Replica[C], now time.Time) float64 {
+	cost := max(replica.row.expected, remoteCost.Seconds()) * float64(replica.row.inFlight+1)
+	if now.Before(replica.coldUntil) {
+		cost *= coldFactor
+	}
+	if replica.Registration.AvailabilityZone != g.zone {
+		cost += remoteCost.Seconds()
+	}
+	return cost
+}
+
+// secondary reports whether a replica is only used if no other can be; a slow
+// one still gets a probe from time to time.
+func (g *Group[C]) secondary(replica *Replica[C], now time.Time) bool {
+	if now.Before(replica.shedUntil) {
+		return true
+	}
+	return replica.row.slow && now.Sub(replica.row.lastUsed) < probeInterval
+}
+
+// Usable returns the number of replicas that may get attempts, and how long it
+// takes until the first of the others may.
+func (g *Group[C]) Usable(now time.Time) (count int, wait time.Duration) {
+	for _, replica := range g.replicas {
+		if replica.row.usable(now) {
+			count++
+			continue
+		}
+		if rest := replica.row.downUntil.Sub(now); !replica.row.leaving && (wait == 0 || rest < wait) {
+			wait = rest
+		}
+	}
+	return count, wait
+}
+
+// Replicas returns the replicas; the slice must not be changed.
+func (g *Group[C]) Replicas() []*Replica[C] {
+	return g.replicas
+}
+
+// Leave marks a replica as one that gets no more attempts.
+func (g *Group[C]) Leave(replica *Replica[C]) {
+	replica.row.leaving = true
+}
+
+// Start notes that an attempt begins.
+func (g *Group[C]) Start(replica *Replica[C], now time.Time) {
+	replica.row.inFlight++
+	replica.row.lastUsed = now
+}
+
+// Finish notes that an attempt ended after it took the time.
+func (g *Group[C]) Finish(replica *Replica[C], now time.Time, outcome Outcome, took time.Duration) {
+	row := &replica.row
+	row.inFlight--
+	if outcome == Abandoned && took.Seconds() > lostFactor*max(row.expected, g.median) {
+		outcome = Failed
+	}
+	switch outcome {
+	case Succeeded:
+		row.failures, row.sheds = 0, 0
+		replica.shedUntil = time.Time{}
+		row.learn(took)
+	case Abandoned:
+		if took.Seconds() > row.latency {
+			row.learn(abandonedFactor * took)
+		}
+	case Refused:
+		replica.shedUntil = now.Add(min(firstShedPause<<min(row.sheds, 10), longestShedPause))
+		row.sheds++
+	case Failed:
+		row.fail(now)
+	case Declined:
+	}
+	g.assess(now)
+}
+
+func (g *Group[C]) assess(now time.Time) {
+	latencies := make([]float64, 0, 8)
+	for _, replica := range g.replicas {
+		if replica.row.latency > 0 && replica.row.usable(now) {
+			latencies = append(latencies, replica.row.latency)
+		}
+	}
+	if len(latencies) > 0 {
+		slices.Sort(latencies)
+		g.median = latencies[(len(latencies)-1)/2]
+	}
+	for _, replica := range g.replicas {
+		replica.row.assess(g.median, now)
+	}
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -66,8 +66,8 @@
 	Declined
 )
 
-// upstream is one row of a Set.
-type upstream struct {
+// row is what is known first-hand of one upstream.
+type row struct {
 	address string
 	// limit is between 1 and slots; attempts start while inFlight is below it.
 	limit    float64
@@ -100,7 +100,7 @@
 // Set is the upstreams of one service.
 type Set struct {
 	slots int
-	rows  []upstream
+	rows  []row
 	// median is the middle latency of the rows in seconds, as of the last tick.
 	median float64
 }
@@ -108,9 +108,9 @@
 // NewSet returns a set of upstreams that accept the given slots each. Each
 // starts slowly: with one request in progress.
 func NewSet(addresses []string, slots int) *Set {
-	s := &Set{slots: slots, rows: make([]upstream, len(addresses))}
+	s := &Set{slots: slots, rows: make([]row, len(addresses))}
 	for i, address := range addresses {
-		s.rows[i] = upstream{address: address, limit: 1}
+		s.rows[i] = row{address: address, limit: 1}
 	}
 	return s
 }
@@ -127,7 +127,7 @@
 
 // Position finds an upstream by its address; -1 if it is not in the set.
 func (s *Set) Position(address string) int {
-	return slices.IndexFunc(s.rows, func(u upstream) bool { return u.address == address })
+	return slices.IndexFunc(s.rows, func(u row) bool { return u.address == address })
 }
 
 // Exclusion is a set of positions that a choice must not return.
@@ -170,28 +170,28 @@
 	return best
 }
 
-// assess brings what is derived from a row's latency up to date.
-func (s *Set) assess(row *upstream, now time.Time) {
-	row.expected = row.latency
-	if row.latency > s.median && s.median > 0 {
-		idle := now.Sub(row.lastUsed).Seconds()
-		row.expected = s.median + (row.latency-s.median)*math.Exp(-idle/latencyMemory.Seconds())
+// assess brings what is derived from the latency up to date.
+func (u *row) assess(median float64, now time.Time) {
+	u.expected = u.latency
+	if u.latency > median && median > 0 {
+		idle := now.Sub(u.lastUsed).Seconds()
+		u.expected = median + (u.latency-median)*math.Exp(-idle/latencyMemory.Seconds())
 	}
-	if row.latency == 0 {
-		row.expected = max(s.median, 1e-6)
+	if u.latency == 0 {
+		u.expected = max(median, 1e-6)
 	}
-	row.slow = s.median > 0 && row.expected > slowFactor*s.median
+	u.slow = median > 0 && u.expected > slowFactor*median
 }
 
-func (u *upstream) usable(now time.Time) bool {
+func (u *row) usable(now time.Time) bool {
 	return !u.leaving && !now.Before(u.downUntil)
 }
 
-func (u *upstream) free() bool {
+func (u *row) free() bool {
 	return u.inFlight+u.reserved < int(u.limit)
 }
 
-func (u *upstream) holds(version uint64) bool {
+func (u *row) holds(version uint64) bool {
 	if version == 0 {
 		return true
 	}
@@ -226,10 +226,10 @@
 		row.fail(now)
 	case Declined:
 	}
-	s.assess(row, now)
+	row.assess(s.median, now)
 }
 
-func (u *upstream) learn(took time.Duration) {
+func (u *row) learn(took time.Duration) {
 	seconds := took.Seconds()
 	if u.latency == 0 {
 		u.latency, u.hold = seconds, seconds
@@ -239,7 +239,7 @@
 	u.latency += latencyWeight * (min(seconds, clip*u.latency) - u.latency)
 }
 
-func (u *upstream) shed(now time.Time) {
+func (u *row) shed(now time.Time) {
 	if now.Sub(u.lastShed) >= shedInterval {
 		u.lastShed = now
 		u.limit = max(1, u.limit*shedFactor)
@@ -251,7 +251,7 @@
 	}
 }
 
-func (u *upstream) fail(now time.Time) {
+func (u *row) fail(now time.Time) {
 	u.failures++
 	if u.failures < failuresToDown {
 		return
@@ -307,7 +307,7 @@
 func (s *Set) Tick(now time.Time) {
 	s.findMedian(now)
 	for i := range s.rows {
-		s.assess(&s.rows[i], now)
+		s.rows[i].assess(s.median, now)
 	}
 }
 
--- /dev/null
+++ b/pkg/upstream/registry.go
@@ -0,0 +1,125 @@
+package upstream
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// returnTime is how long after an outage of the store an upstream whose
+// registration lapsed meanwhile may take to register again.
+const returnTime = 2200 * time.Millisecond
+
+// Registry keeps the registrations that a store holds, through the store's
+// outages: what is missing just after one counts only once its upstream has had
+// the time to register again. It reads no clock and is not safe for concurrent
+// use.
+type Registry struct {
+	current map[string]Registration
+	// missing holds when a registration was first seen to be gone, of those
+	// that are kept a while.
+	missing map[string]time.Time
+	// lost is true while the store can't be reached; found is when it could be
+	// again.
+	lost  bool
+	found time.Time
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{current: map[string]Registration{}, missing: map[string]time.Time{}}
+}
+
+// Lose notes that the store can't be reached.
+func (r *Registry) Lose() {
+	r.lost = true
+}
+
+// Find notes that the store answers.
+func (r *Registry) Find(now time.Time) {
+	if r.lost {
+		r.lost, r.found = false, now
+	}
+}
+
+// Put takes over a registration.
+func (r *Registry) Put(registration Registration) {
+	delete(r.missing, registration.ID)
+	r.current[registration.ID] = registration
+}
+
+// Spoil removes a registration that can no longer be read.
+func (r *Registry) Spoil(id string) {
+	delete(r.missing, id)
+	delete(r.current, id)
+}
+
+// Remove notes that a registration is gone from the store.
+func (r *Registry) Remove(now time.Time, id string) {
+	if _, known := r.current[id]; !known {
+		return
+	}
+	if r.recent(now) {
+		if _, noted := r.missing[id]; !noted {
+			r.missing[id] = now
+		}
+		return
+	}
+	r.Spoil(id)
+}
+
+// recent reports whether an outage ended a moment ago.
+func (r *Registry) recent(now time.Time) bool {
+	return r.lost || !r.found.IsZero() && now.Sub(r.found) < returnTime
+}
+
+// Replace takes over all registrations of the store at once.
+func (r *Registry) Replace(now time.Time, registrations []Registration) {
+	present := make(map[string]bool, len(registrations))
+	for _, registration := range registrations {
+		present[registration.ID] = true
+		r.Put(registration)
+	}
+	for id := range r.current {
+		if !present[id] {
+			r.Remove(now, id)
+		}
+	}
+}
+
+// Expire gives up what has been missing for too long and reports whether there
+// was any.
+func (r *Registry) Expire(now time.Time) bool {
+	if r.recent(now) || len(r.missing) == 0 {
+		return false
+	}
+	for id := range r.missing {
+		r.Spoil(id)
+	}
+	return true
+}
+
+// All returns the registrations by ID. Of several at one address only the one
+// that started last counts.
+func (r *Registry) All() []Registration {
+	newest := make(map[string]Registration, len(r.current))
+	for _, registration := range r.current {
+		other, taken := newest[registration.Address]
+		if !taken || later(registration, other) {
+			newest[registration.Address] = registration
+		}
+	}
+	all := make([]Registration, 0, len(newest))
+	for _, registration := range newest {
+		all = append(all, registration)
+	}
+	slices.SortFunc(all, func(a, b Registration) int { return cmp.Compare(a.ID, b.ID) })
+	return all
+}
+
+func later(a, b Registration) bool {
+	if a.Born != b.Born {
+		return a.Born > b.Born
+	}
+	return a.ID > b.ID
+}
