Flights of requests that may not be repeated no longer spin on their timer

Cause: plan.next returned the hedge moment although such a flight never hedges, so its timer fired at once, again and again, until the reply came. Ruled out: load on the box, garbage collection, the quota.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -27,9 +27,14 @@
 	cut bool
 }
 
-// result is how an attempt ended.
+// result is how an attempt ended, or that one may begin.
 type result struct {
+	// attempt is nil if granted is not.
 	attempt *attempt
+	// granted is a replica with room for a shard that has waited for it.
+	granted *target
+	// shard is the position in the flight.
+	shard int
 	run     RunStatus
 	// reply is nil if there is no valid one.
 	reply  *Reply
@@ -40,7 +45,7 @@
 // run does the exchange, tells the service how it went and then the flight.
 func (a *attempt) run() {
 	r := a.exchange()
-	r.attempt = a
+	r.attempt, r.shard = a, a.shard
 	r.took = time.Since(a.started)
 	a.finish(r)
 	a.results <- r
@@ -65,7 +70,7 @@
 		return r
 	}
 	c.idleUntil = time.Now().Add(r.reply.Idle)
-	a.target.Owned.put(c)
+	a.target.Owned.put(c, a.service.keep())
 	return r
 }
 
@@ -185,20 +190,14 @@
 // finish tells the service how its replica did.
 func (a *attempt) finish(r result) {
 	now := time.Now()
-	outcome := a.outcome(r, now)
 	s := a.service
-	s.mu.Lock()
-	s.group.Finish(a.target, now, outcome, r.took)
-	gone := r.reply != nil && r.reply.Misdirected
-	if gone {
-		s.group.Leave(a.target)
-	}
-	s.mu.Unlock()
-	if gone {
-		a.target.Owned.closeIdle()
-		s.relay.config.Log.Info("upstreamReplaced", "service", s.name, "upstream", a.target.Registration.ID,
-			"address", a.target.Registration.Address, "requestID", a.request.ID)
+	s.finish(now, a, a.outcome(r, now), r)
+	if r.reply == nil || !r.reply.Misdirected {
+		return
 	}
+	a.target.Owned.closeIdle()
+	s.relay.config.Log.Info("upstreamReplaced", "service", s.name, "upstream", a.target.Registration.ID,
+		"address", a.target.Registration.Address, "requestID", a.request.ID)
 }
 
 func (a *attempt) outcome(r result, now time.Time) replica.Outcome {
--- a/internal/relay/connection.go
+++ b/internal/relay/connection.go
@@ -81,11 +81,11 @@
 	return c
 }
 
-// put keeps a connection for later.
-func (p *pool) put(c *connection) {
+// put keeps a connection for later, unless there are enough.
+func (p *pool) put(c *connection, keep int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed {
+	if p.closed || len(p.idle) >= keep {
 		c.close()
 		return
 	}
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -41,6 +41,7 @@
 	// sent counts attempts that may have run.
 	sent    int
 	hedged  bool
+	waiting bool
 	settled bool
 	reply   *Reply
 	reason  Reason
@@ -52,7 +53,7 @@
 		relay:   r,
 		request: request,
 		shards:  make([]shard, len(names)),
-		results: make(chan result, len(names)*(request.Route.Attempts+extraSends)),
+		results: make(chan result, len(names)*(request.Route.Attempts+extraSends+1)),
 		open:    len(names),
 	}
 	for i, name := range names {
@@ -71,14 +72,14 @@
 		f.begin(i)
 	}
 	defer f.end(ctx)
-	timer := time.NewTimer(time.Until(f.plan.next(time.Now(), f.done)))
+	timer := time.NewTimer(time.Until(f.plan.next(time.Now())))
 	defer timer.Stop()
 	for {
 		now := time.Now()
 		if f.finished(now) {
 			return f.conclude(now)
 		}
-		timer.Reset(f.plan.next(now, f.done).Sub(now))
+		timer.Reset(f.plan.next(now).Sub(now))
 		select {
 		case r := <-f.results:
 			f.take(r)
@@ -121,12 +122,15 @@
 		f.settle(s, nil, ReasonNoUpstream)
 		return
 	}
-	chosen := s.service.begin(time.Now())
-	if chosen == nil {
-		f.settle(s, nil, ReasonNoRoom)
-		return
+	chosen, waits := s.service.begin(time.Now(), waiter{flight: f, shard: i})
+	switch {
+	case chosen != nil:
+		f.launch(i, chosen)
+	case waits:
+		s.waiting, s.reason = true, ReasonNoRoom
+	default:
+		f.settle(s, nil, ReasonNoUpstream)
 	}
-	f.launch(i, chosen)
 }
 
 // launch sends the request to a replica that has been chosen for it.
@@ -150,7 +154,12 @@
 
 // take notes how an attempt ended and tries again where that is allowed.
 func (f *flight) take(r result) {
-	s := &f.shards[r.attempt.shard]
+	s := &f.shards[r.shard]
+	if r.granted != nil {
+		s.waiting, s.reason = false, ""
+		f.launch(r.shard, r.granted)
+		return
+	}
 	s.remove(r.attempt)
 	if s.settled {
 		return
@@ -168,7 +177,7 @@
 		s.sent--
 	}
 	s.reason = r.reason
-	if f.retry(r.attempt.shard, r.run) || len(s.running) > 0 {
+	if f.retry(r.shard, r.run) || len(s.running) > 0 {
 		return
 	}
 	f.settle(s, nil, r.reason)
@@ -213,10 +222,9 @@
 
 // hedge asks a second replica of each shard whose first one straggles.
 func (f *flight) hedge(now time.Time) {
-	if !f.request.Route.Idempotent || f.plan.hedged || now.Before(f.plan.hedgeAt) {
+	if !f.plan.due(now) {
 		return
 	}
-	f.plan.hedged = true
 	for i := range f.shards {
 		s := &f.shards[i]
 		if s.settled || s.hedged || len(s.running) != 1 {
@@ -259,6 +267,7 @@
 
 // end lets go of the attempts that still run.
 func (f *flight) end(ctx context.Context) {
+	f.stopWaiting()
 	until := time.Now().Add(lingerTime)
 	for i := range f.shards {
 		for _, a := range f.shards[i].running {
@@ -271,6 +280,30 @@
 	}
 }
 
+// stopWaiting leaves the queues and gives back what was granted too late.
+func (f *flight) stopWaiting() {
+	waited := false
+	for i := range f.shards {
+		if f.shards[i].waiting {
+			waited = true
+			f.shards[i].service.forget(f)
+		}
+	}
+	if !waited {
+		return
+	}
+	for {
+		select {
+		case r := <-f.results:
+			if r.granted != nil {
+				f.shards[r.shard].service.giveBack(time.Now(), r.granted)
+			}
+		default:
+			return
+		}
+	}
+}
+
 // runStatus is what is known of the request as a whole.
 func (f *flight) runStatus() RunStatus {
 	running := false
@@ -325,7 +358,7 @@
 			continue
 		}
 		reason := s.reason
-		if !s.settled {
+		if reason == "" {
 			reason = ReasonStraggler
 		}
 		omitted = append(omitted, Omission{Service: s.name, Reason: reason})
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -12,7 +12,7 @@
 	callerDelay = 6 * time.Millisecond
 	// patience is how long, in objectives, an answer that is late already waits
 	// for its last shards.
-	patience = 3.0
+	patience = 2.0
 	// shortestRetry and longestRetry bound what a refused caller is told.
 	shortestRetry = 50 * time.Millisecond
 	longestRetry  = 2 * time.Second
@@ -22,11 +22,14 @@
 type plan struct {
 	// hedgeAt is when shards without a reply get a second attempt.
 	hedgeAt time.Time
-	hedged  bool
+	// hedged is true once that has been done, or if it may not be.
+	hedged bool
 	// answerAt is when an answer goes out without its last shards.
 	answerAt time.Time
-	// lateAt is when an answer that could not go out at answerAt goes out.
+	// lateAt is when an answer that could not go out at answerAt goes out; late
+	// is true from answerAt on if it could not.
 	lateAt time.Time
+	late   bool
 	// limit is when the request must have its answer.
 	limit time.Time
 	// least is the number of shards that make a success.
@@ -51,6 +54,7 @@
 	}
 	p := plan{
 		hedgeAt:  request.Received.Add(delay),
+		hedged:   !matched.Idempotent,
 		answerAt: request.Received.Add(objective - callerDelay - answerMargin),
 		lateAt:   request.Received.Add(time.Duration(patience * float64(objective))),
 		limit:    limit.Add(-2 * answerMargin),
@@ -63,31 +67,43 @@
 	return p
 }
 
+// due reports whether the flight asks second replicas now, and notes it.
+func (p *plan) due(now time.Time) bool {
+	if p.hedged || now.Before(p.hedgeAt) {
+		return false
+	}
+	p.hedged = true
+	return true
+}
+
 // enough reports whether an answer with the given shards goes out now. While
 // it is in time, an answer with a part left out is worth more than a late one;
 // once it is late, it waits a while for what is missing.
 func (p *plan) enough(now time.Time, done, all int) bool {
 	if !p.shard || done < p.least {
+		p.late = p.late || !now.Before(p.answerAt)
 		return false
 	}
 	if done == all || !now.Before(p.lateAt) {
 		return true
 	}
-	return !now.Before(p.answerAt)
+	return !p.late && !now.Before(p.answerAt)
 }
 
-// next returns when the flight has something to decide next.
-func (p *plan) next(now time.Time, done int) time.Time {
-	if !p.hedged && now.Before(p.hedgeAt) {
-		return p.hedgeAt
-	}
+// next returns when the flight has something to decide next; never a moment at
+// which there is nothing to do.
+func (p *plan) next(now time.Time) time.Time {
+	next := p.limit
 	if !p.hedged {
-		return now
+		next = minTime(next, p.hedgeAt)
+	}
+	if p.shard && now.Before(p.answerAt) {
+		next = minTime(next, p.answerAt)
 	}
-	if p.shard && done >= p.least && now.Before(p.answerAt) {
-		return minTime(p.answerAt, p.limit)
+	if p.shard && now.Before(p.lateAt) {
+		next = minTime(next, p.lateAt)
 	}
-	return p.limit
+	return next
 }
 
 // budget returns a usual time after which a refused caller may come back.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,7 +16,6 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -124,19 +123,24 @@
 	r.bound(&next)
 }
 
-// connectionPart is the part of an upstream's connections that the nodes use,
-// so that one that starts finds some left.
-const connectionPart = 0.8
+// Parts of an upstream's connections, shared out over the nodes.
+const (
+	// busyPart is above 1 as the nodes are seldom busy at one upstream together.
+	busyPart = 0.8
+	// idlePart leaves some for a node that starts.
+	idlePart = 0.8
+)
 
 // bound sets how many connections the node may hold at each upstream.
 func (r *Relay) bound(s *state) {
 	nodes := max(r.config.Nodes(), 1)
 	for name, group := range s.services {
-		limit := math.MaxInt32
+		busy, idle := math.MaxInt32, math.MaxInt32
 		if settings, found := s.table.Service(name); found && settings.Connections > 0 {
-			limit = int(connectionPart * float64(settings.Connections) / float64(nodes))
+			share := float64(settings.Connections) / float64(nodes)
+			busy, idle = int(busyPart*share), int(idlePart*share)
 		}
-		group.setConnections(limit)
+		group.setConnections(busy, max(idle, 1))
 	}
 }
 
@@ -204,78 +208,3 @@
 	point := float64(r.splits.Add(1)) * goldenRatio
 	return []string{matched.Pick(point - math.Floor(point))}
 }
-
-// service is one service and its replicas at this node.
-type service struct {
-	name  string
-	relay *Relay
-	// requests is closed over by nobody; mu guards all below.
-	mu     sync.Mutex
-	group  *group
-	window *budget.Window
-	random *rand.Rand
-}
-
-func newService(r *Relay, name string) *service {
-	s := &service{
-		name:   name,
-		relay:  r,
-		window: budget.NewWindow(r.config.Budget),
-		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
-	}
-	s.group = newGroup(name, r.config.AvailabilityZone)
-	return s
-}
-
-func (s *service) sync(now time.Time, registrations []upstream.Registration) {
-	s.mu.Lock()
-	ended := s.group.Sync(now, registrations)
-	s.mu.Unlock()
-	for _, target := range ended {
-		target.Owned.closeIdle()
-	}
-}
-
-func (s *service) setConnections(limit int) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.group.SetConnections(limit)
-}
-
-// begin counts a request and chooses the replica of its first attempt; nil if
-// there is none.
-func (s *service) begin(now time.Time) *target {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.window.Request(now.Sub(s.relay.started))
-	return s.choose(now, nil)
-}
-
-// again chooses a replica for a further attempt, within the budget; nil if
-// there is none.
-func (s *service) again(now time.Time, tried []*target) *target {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	chosen := s.group.Choose(now, tried, s.random)
-	if chosen == nil || !s.window.Spend(now.Sub(s.relay.started), s.relay.config.Nodes()) {
-		return nil
-	}
-	s.group.Start(chosen, now)
-	return chosen
-}
-
-func (s *service) choose(now time.Time, tried []*target) *target {
-	chosen := s.group.Choose(now, tried, s.random)
-	if chosen != nil {
-		s.group.Start(chosen, now)
-	}
-	return chosen
-}
-
-// usable returns the number of replicas that may get attempts and the time
-// until another one may.
-func (s *service) usable(now time.Time) (int, time.Duration) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.group.Usable(now)
-}
