SIGHUP reloads the settings; log lines go through a bounded queue; settings file watched

Log lines went straight to standard output, where a slow reader would have held up a request. Ruled out: memory (peak 23 MB of 284), a panic (exit code 129 is the signal).

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -7,10 +7,12 @@
 	"runtime/debug"
 	"runtime/pprof"
 	"syscall"
+	"time"
 
 	"github.com/go-logr/logr"
 	"github.com/pkg/errors"
 
+	"github.com/bronzereach/bronzereach/internal/logqueue"
 	"github.com/bronzereach/bronzereach/internal/node"
 	"github.com/bronzereach/bronzereach/platform"
 )
@@ -19,6 +21,9 @@
 // before garbage is collected.
 const garbagePercent = 400
 
+// logPatience bounds the wait for a slow reader of the log at the end.
+const logPatience = 200 * time.Millisecond
+
 // memoryPercent is the part of a node's memory that the heap may take before
 // garbage is collected more often.
 const memoryPercent = 60
@@ -48,7 +53,9 @@
 	if options.Foreign != nil && options.Foreign.MemoryBytes > 0 {
 		debug.SetMemoryLimit(options.Foreign.MemoryBytes * memoryPercent / 100)
 	}
-	log := newLog(streams.Out)
+	lines := logqueue.New(streams.Out)
+	defer lines.Close(logPatience)
+	log := newLog(lines)
 	n, err := node.New(options, log)
 	if err != nil {
 		return exitFailed, err
@@ -59,7 +66,11 @@
 	defer signal.Stop(signals)
 	l := &leaver{node: n, log: log, signals: signals}
 	go l.loop()
-	if err := n.Run(context.Background()); err != nil {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	r := newReloader(flags.settings, n, log)
+	go r.loop(ctx)
+	if err := n.Run(ctx); err != nil {
 		return exitFailed, err
 	}
 	log.Info("nodeEnded", "vm", options.VM, "cut", l.cut)
--- /dev/null
+++ b/internal/cli/reload.go
@@ -0,0 +1,76 @@
+package cli
+
+import (
+	"bytes"
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/bronzereach/bronzereach/internal/node"
+)
+
+// settingsInterval is the time between looks at the settings file, which may
+// change without a signal.
+const settingsInterval = 2 * time.Second
+
+// reloader takes over settings that change while a node runs.
+type reloader struct {
+	path    string
+	node    *node.Node
+	log     logr.Logger
+	text    []byte
+	signals chan os.Signal
+}
+
+// newReloader returns a reloader that catches its signal from now on.
+func newReloader(path string, n *node.Node, log logr.Logger) *reloader {
+	r := &reloader{path: path, node: n, log: log, signals: make(chan os.Signal, 1)}
+	signal.Notify(r.signals, syscall.SIGHUP)
+	if text, err := os.ReadFile(path); err == nil {
+		r.text = text
+	}
+	return r
+}
+
+// loop looks at the file on each signal and from time to time.
+func (r *reloader) loop(ctx context.Context) {
+	defer signal.Stop(r.signals)
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.signals:
+			r.reload("signal")
+		case <-ticker.C:
+			r.reload("file")
+		}
+	}
+}
+
+func (r *reloader) reload(cause string) {
+	text, err := os.ReadFile(r.path)
+	if err != nil {
+		r.log.Error(err, "settingsUnreadable", "cause", cause)
+		return
+	}
+	if bytes.Equal(text, r.text) {
+		if cause == "signal" {
+			r.log.Info("settingsUnchanged", "cause", cause)
+		}
+		return
+	}
+	r.text = text
+	options, err := node.ParseOptions(text)
+	if err != nil {
+		r.log.Error(err, "settingsRefused", "cause", cause)
+		return
+	}
+	r.node.Reload(options)
+	r.log.Info("settingsReloaded", "cause", cause, "peers", len(options.Peers))
+}
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -120,7 +120,7 @@
 
 func (peersMissed) apply(ctx context.Context, c *control, now time.Time) {
 	var missing []string
-	for _, address := range c.node.options.Peers {
+	for _, address := range c.peers {
 		if !c.reachable(address) {
 			missing = append(missing, address)
 		}
@@ -145,3 +145,17 @@
 	}
 	return c.document != nil
 }
+
+// Reload takes over the settings that may change while the node runs: the peers.
+func (n *Node) Reload(options Options) {
+	n.control.post(reloaded{peers: options.Peers})
+}
+
+// reloaded brings settings that have changed.
+type reloaded struct {
+	peers []string
+}
+
+func (e reloaded) apply(_ context.Context, c *control, _ time.Time) {
+	c.peers = e.peers
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -102,6 +102,8 @@
 	notices     *member.Spread[string, *wire.Notice]
 	noticed     util.Set[string]
 	storeLost   bool
+	// peers are the addresses of the settings.
+	peers []string
 }
 
 func newControl(n *Node) *control {
@@ -118,6 +120,7 @@
 		checking: util.NewSet[string](),
 		notices:  member.NewSpread[string, *wire.Notice](),
 		noticed:  util.NewSet[string](),
+		peers:    n.options.Peers,
 	}
 	c.joining.Store(true)
 	c.publish()
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -35,7 +35,7 @@
 	granted *target
 	// shard is the position in the flight.
 	shard int
-	run     RunStatus
+	run   RunStatus
 	// reply is nil if there is no valid one.
 	reply  *Reply
 	reason Reason
