Risk of a replica counts in its choice; shed work waits at the nodes; retries go before hedges

Change: share of shed or failed attempts (fading) is part of a replica's cost; hedges may use 0.7 of the budget; a replica takes at most this node's share of four times its slots, the rest waits by rank, those that can be in time first.

--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"time"
+
+	"github.com/bronzereach/bronzereach/pkg/budget"
 )
 
 const (
@@ -14,7 +16,7 @@
 	// for most upstreams that pause.
 	lingerTime = 300 * time.Millisecond
 	// answerMargin is the time that an answer takes to get ready and go out.
-	answerMargin = 5 * time.Millisecond
+	answerMargin = 4 * time.Millisecond
 )
 
 // flight is one request on its way. It belongs to one goroutine.
@@ -122,7 +124,7 @@
 		f.settle(s, nil, ReasonNoUpstream)
 		return
 	}
-	chosen, waits := s.service.begin(time.Now(), waiter{flight: f, shard: i})
+	chosen, waits := s.service.begin(time.Now(), waiter{flight: f, shard: i, answerAt: f.plan.answerAt})
 	switch {
 	case chosen != nil:
 		f.launch(i, chosen)
@@ -199,11 +201,11 @@
 	if run != NotRun && !f.request.Route.Idempotent {
 		return false
 	}
-	return f.another(i, s, "retry")
+	return f.another(i, s, budget.Retry)
 }
 
 // another starts one more attempt if route, budget and time allow it.
-func (f *flight) another(i int, s *shard, cause string) bool {
+func (f *flight) another(i int, s *shard, cause budget.Cause) bool {
 	now := time.Now()
 	if s.sent >= f.request.Route.Attempts || len(s.tried) >= f.request.Route.Attempts+extraSends {
 		return false
@@ -211,11 +213,11 @@
 	if !now.Before(f.plan.limit) {
 		return false
 	}
-	chosen := s.service.again(now, s.tried)
+	chosen := s.service.again(now, s.tried, cause)
 	if chosen == nil {
 		return false
 	}
-	f.relay.Metrics.extra(cause)
+	f.relay.Metrics.extra(cause.String())
 	f.launch(i, chosen)
 	return true
 }
@@ -231,7 +233,7 @@
 			continue
 		}
 		s.hedged = true
-		f.another(i, s, "hedge")
+		f.another(i, s, budget.Hedge)
 	}
 }
 
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -81,7 +81,7 @@
 // once it is late, it waits a while for what is missing.
 func (p *plan) enough(now time.Time, done, all int) bool {
 	if !p.shard || done < p.least {
-		p.late = p.late || !now.Before(p.answerAt)
+		p.late = p.late || !now.Before(p.answerAt.Add(answerMargin))
 		return false
 	}
 	if done == all || !now.Before(p.lateAt) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -125,9 +125,8 @@
 
 // Parts of an upstream's connections, shared out over the nodes.
 const (
-	// busyPart is above 1 as the nodes are seldom busy at one upstream together.
+	// busyPart and idlePart leave some for nodes that start.
 	busyPart = 0.8
-	// idlePart leaves some for a node that starts.
 	idlePart = 0.8
 )
 
@@ -140,7 +139,7 @@
 			share := float64(settings.Connections) / float64(nodes)
 			busy, idle = int(busyPart*share), int(idlePart*share)
 		}
-		group.setConnections(busy, max(idle, 1))
+		group.setBounds(busy, max(idle, 1), nodes)
 	}
 }
 
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -31,6 +31,8 @@
 type waiter struct {
 	flight *flight
 	shard  int
+	// answerAt is when the flight's answer has to go out to be in time.
+	answerAt time.Time
 }
 
 func newService(r *Relay, name string) *service {
@@ -53,10 +55,10 @@
 	}
 }
 
-func (s *service) setConnections(busy, idle int) {
+func (s *service) setBounds(busy, idle, nodes int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.group.SetConnections(busy)
+	s.group.SetBounds(busy, nodes)
 	s.idle = idle
 }
 
@@ -104,11 +106,11 @@
 
 // again chooses a replica for a further attempt, within the budget; nil if
 // there is none.
-func (s *service) again(now time.Time, tried []*target) *target {
+func (s *service) again(now time.Time, tried []*target, cause budget.Cause) *target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	chosen := s.group.Choose(now, tried, s.random)
-	if chosen == nil || !s.window.Spend(now.Sub(s.relay.started), s.relay.config.Nodes()) {
+	if chosen == nil || !s.window.Spend(now.Sub(s.relay.started), s.relay.config.Nodes(), cause) {
 		return nil
 	}
 	s.group.Start(chosen, now)
@@ -141,12 +143,25 @@
 		if chosen == nil {
 			return
 		}
-		first := s.waiting[0]
-		s.waiting = s.waiting[1:]
+		next := nextWaiter(s.waiting, now)
+		first := s.waiting[next]
+		s.waiting = slices.Delete(s.waiting, next, next+1)
 		first.flight.results <- result{granted: chosen, shard: first.shard}
 	}
 }
 
+// nextWaiter returns the position of the first waiter that can still be in
+// time, or else of the first. In an overload, serving the late ones first would
+// make all that follow late too.
+func nextWaiter(waiting []waiter, now time.Time) int {
+	for i, w := range waiting {
+		if now.Before(w.answerAt) {
+			return i
+		}
+	}
+	return 0
+}
+
 // usable returns the number of replicas that may get attempts and the time
 // until another one may.
 func (s *service) usable(now time.Time) (int, time.Duration) {
--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -24,10 +24,29 @@
 // Parts of the shared bound that a node uses: the rest covers nodes that join,
 // or that start again with empty windows.
 const (
-	ratioPart = 0.8
+	ratioPart = 0.95
 	slackPart = 0.6
+	// hedgePart is the part of that which may go to hedges: a request that was
+	// shed or lost needs its second attempt more than one that is slow.
+	hedgePart = 0.7
 )
 
+// Cause is why an attempt beyond the first is made.
+type Cause uint8
+
+// The causes.
+const (
+	// Retry follows an attempt that was shed, lost or failed.
+	Retry Cause = iota
+	// Hedge accompanies an attempt that is slow.
+	Hedge
+)
+
+// String returns the cause's name.
+func (c Cause) String() string {
+	return [...]string{"retry", "hedge"}[c]
+}
+
 // bucket counts what began in one part of the period.
 type bucket struct {
 	// number is the bucket's position on the time line.
@@ -63,7 +82,7 @@
 
 // Spend counts an extra attempt if the node's share of the bound, one of the
 // given number of nodes, allows it.
-func (w *Window) Spend(now time.Duration, nodes int) bool {
+func (w *Window) Spend(now time.Duration, nodes int, cause Cause) bool {
 	current := w.at(now)
 	requests, extras := 0, 0
 	for i := range w.buckets {
@@ -73,6 +92,9 @@
 		}
 	}
 	allowed := ratioPart*w.config.Ratio*float64(requests) + slackPart*w.config.Slack/float64(max(nodes, 1))
+	if cause == Hedge {
+		allowed *= hedgePart
+	}
 	if float64(extras+1) > allowed {
 		return false
 	}
--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -16,6 +16,19 @@
 	// coldFactor is how much slower a replica is expected to be just after its
 	// start.
 	coldFactor = 1.6
+	// riskWeight is the weight of the newest attempt in the share of those that a
+	// replica sheds or fails.
+	riskWeight = 0.15
+	// riskCost is what an attempt that ends so costs, as a multiple of the median
+	// latency: it takes a further attempt, for which the budget is small.
+	riskCost = 6.0
+	// riskMemory is the time after which the risk of an unused replica has faded
+	// to 1/e.
+	riskMemory = 3 * time.Second
+	// queueFactor is how much work all nodes together may have at a replica, in
+	// multiples of its slots: enough to keep it busy, while what waits does so at
+	// the nodes, in order of rank and where it can still be given up.
+	queueFactor = 4.0
 	// lostFactor is how many times longer than expected an attempt without an
 	// answer lasts before its replica counts as failed.
 	lostFactor = 8.0
@@ -29,6 +42,10 @@
 	Owned        C
 	row          row
 	coldUntil    time.Time
+	// risk is the share of attempts that were shed or failed, as of riskAt;
+	// between 0 and 1.
+	risk   float64
+	riskAt time.Time
 	// shedUntil is the time before which other replicas are preferred.
 	shedUntil time.Time
 }
@@ -42,7 +59,9 @@
 	// connections is the number of attempts that may be in progress at one
 	// replica.
 	connections int
-	replicas    []*Replica[C]
+	// nodes is the number of nodes that share the replicas; at least 1.
+	nodes    int
+	replicas []*Replica[C]
 	// median is the middle latency in seconds, as of the last Finish.
 	median float64
 }
@@ -58,12 +77,14 @@
 
 // NewGroup returns a group without replicas.
 func NewGroup[C any](config GroupConfig[C]) *Group[C] {
-	return &Group[C]{service: config.Service, zone: config.AvailabilityZone, make: config.Make, connections: 1}
+	return &Group[C]{service: config.Service, zone: config.AvailabilityZone, make: config.Make, connections: 1, nodes: 1}
 }
 
-// SetConnections bounds the attempts in progress at one replica.
-func (g *Group[C]) SetConnections(count int) {
-	g.connections = max(count, 1)
+// SetBounds sets the connections that the node may use at one replica and the
+// number of nodes that share it.
+func (g *Group[C]) SetBounds(connections, nodes int) {
+	g.connections = max(connections, 1)
+	g.nodes = max(nodes, 1)
 }
 
 // Sync takes over which upstreams there are and returns those that ended.
@@ -73,7 +94,7 @@
 	for _, registration := range registrations {
 		replica := g.find(registration)
 		if replica == nil {
-			replica = &Replica[C]{Owned: g.make(registration)}
+			replica = &Replica[C]{Owned: g.make(registration), row: row{limit: math.Inf(1)}}
 		}
 		replica.Registration = registration
 		replica.row.leaving = replica.row.leaving || registration.Leaving
@@ -111,7 +132,7 @@
 	start := random.IntN(len(g.replicas))
 	for offset := range g.replicas {
 		replica := g.replicas[(start+offset)%len(g.replicas)]
-		if !replica.row.usable(now) || replica.row.inFlight >= g.connections || slices.Contains(tried, replica) {
+		if !replica.row.usable(now) || replica.row.inFlight >= g.room(replica) || slices.Contains(tried, replica) {
 			continue
 		}
 		cost := g.cost(replica, now)
@@ -131,17 +152,40 @@
 	return best
 }
 
+// room is the number of attempts that a replica may have in progress: it falls
+// when the replica sheds, so that work waits here, in its order, and isn't sent
+// in vain.
+func (g *Group[C]) room(replica *Replica[C]) int {
+	share := max(1, queueFactor*float64(replica.Registration.Slots)/float64(g.nodes))
+	return int(min(replica.row.limit, float64(g.connections), share))
+}
+
 func (g *Group[C]) cost(replica *Replica[C], now time.Time) float64 {
 	cost := max(replica.row.expected, remoteCost.Seconds()) * float64(replica.row.inFlight+1)
 	if now.Before(replica.coldUntil) {
 		cost *= coldFactor
 	}
+	cost += replica.riskNow(now) * riskCost * g.median
 	if replica.Registration.AvailabilityZone != g.zone {
 		cost += remoteCost.Seconds()
 	}
 	return cost
 }
 
+// riskNow is the risk, faded since the last attempt.
+func (r *Replica[C]) riskNow(now time.Time) float64 {
+	return r.risk * math.Exp(-now.Sub(r.riskAt).Seconds()/riskMemory.Seconds())
+}
+
+// learnRisk takes in whether an attempt was shed or failed.
+func (r *Replica[C]) learnRisk(now time.Time, bad bool) {
+	r.risk = (1 - riskWeight) * r.riskNow(now)
+	if bad {
+		r.risk += riskWeight
+	}
+	r.riskAt = now
+}
+
 // secondary reports whether a replica is only used if no other can be; a slow
 // one still gets a probe from time to time.
 func (g *Group[C]) secondary(replica *Replica[C], now time.Time) bool {
@@ -189,22 +233,31 @@
 	if outcome == Abandoned && took.Seconds() > lostFactor*max(row.expected, g.median) {
 		outcome = Failed
 	}
+	if outcome == Succeeded || outcome == Refused || outcome == Failed {
+		replica.learnRisk(now, outcome != Succeeded)
+	}
 	switch outcome {
 	case Succeeded:
 		row.failures, row.sheds = 0, 0
 		replica.shedUntil = time.Time{}
 		row.learn(took)
+		row.limit = min(float64(g.connections), row.limit+recovery*float64(g.connections))
 	case Abandoned:
 		if took.Seconds() > row.latency {
 			row.learn(abandonedFactor * took)
 		}
 	case Refused:
+		if now.Sub(row.lastShed) >= shedInterval {
+			row.lastShed = now
+			row.limit = max(1, min(row.limit, float64(row.inFlight+1))*shedFactor)
+		}
 		replica.shedUntil = now.Add(min(firstShedPause<<min(row.sheds, 10), longestShedPause))
 		row.sheds++
 	case Failed:
 		row.fail(now)
 	case Declined:
 	}
+	row.limit = max(1, row.limit)
 	g.assess(now)
 }
 
