--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -52,7 +52,12 @@
 }
 
 func (a *attempt) exchange() result {
-	c := a.target.Owned.take(a.started)
+	var c *connection
+	if a.request.Route.Idempotent {
+		// An upstream may drop an idle connection just as it is used, and then
+		// nobody knows whether the request arrived.
+		c = a.target.Owned.take(a.started)
+	}
 	if c == nil {
 		var err error
 		if c, err = dial(a.target.Registration.Address, time.Until(a.limit)); err != nil {
--- /dev/null
+++ b/pkg/budget/budget_test.go
@@ -0,0 +1,73 @@
+package budget
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// TestNodesTogetherStayWithinTheBound: whatever the nodes do, in any window of
+// the period their extra attempts stay below the bound that they share.
+func TestNodesTogetherStayWithinTheBound(t *testing.T) {
+	config := Config{Ratio: 0.2, Slack: 58, Period: 10 * time.Second}
+	rapid.Check(t, func(t *rapid.T) {
+		nodes := rapid.IntRange(1, 12).Draw(t, "nodes")
+		windows := make([]*Window, nodes)
+		for i := range windows {
+			windows[i] = NewWindow(config)
+		}
+		const steps = 600
+		step := 50 * time.Millisecond
+		var requests, extras [steps]int
+		burst := rapid.IntRange(0, 6).Draw(t, "burst")
+		for i := range steps {
+			now := time.Duration(i) * step
+			node := rapid.IntRange(0, nodes-1).Draw(t, "node")
+			for range rapid.IntRange(0, burst).Draw(t, "requests") {
+				windows[node].Request(now)
+				requests[i]++
+			}
+			for range rapid.IntRange(0, 4).Draw(t, "wanted") {
+				if windows[node].Spend(now, nodes, Retry) {
+					extras[i]++
+				}
+			}
+		}
+		length := int(config.Period / step)
+		for from := 0; from+length <= steps; from++ {
+			r, e := 0, 0
+			for i := from; i < from+length; i++ {
+				r += requests[i]
+				e += extras[i]
+			}
+			before := 0
+			for i := max(0, from-length); i < from; i++ {
+				before += requests[i]
+			}
+			if bound := config.Ratio*float64(max(r, before)) + config.Slack; float64(e) > bound {
+				t.Fatalf("%d extra attempts in a window with %d requests", e, r)
+			}
+		}
+	})
+}
+
+// TestHedgesLeaveRoomForRetries: a flood of hedges can't take the budget that a
+// request needs whose attempt was shed.
+func TestHedgesLeaveRoomForRetries(t *testing.T) {
+	w := NewWindow(Config{Ratio: 0.2, Slack: 0, Period: 10 * time.Second})
+	for range 100 {
+		w.Request(0)
+	}
+	hedges := 0
+	for w.Spend(0, 1, Hedge) {
+		hedges++
+	}
+	retries := 0
+	for w.Spend(0, 1, Retry) {
+		retries++
+	}
+	if hedges == 0 || retries < 3 {
+		t.Errorf("%d hedges, %d retries", hedges, retries)
+	}
+}
--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -19,6 +19,8 @@
 	// riskWeight is the weight of the newest attempt in the share of those that a
 	// replica sheds or fails.
 	riskWeight = 0.15
+	// leastRisk is the risk below which replicas count as alike.
+	leastRisk = 0.05
 	// riskCost is what an attempt that ends so costs, as a multiple of the median
 	// latency: it takes a further attempt, for which the budget is small.
 	riskCost = 6.0
@@ -174,7 +176,11 @@
 
 // riskNow is the risk, faded since the last attempt.
 func (r *Replica[C]) riskNow(now time.Time) float64 {
-	return r.risk * math.Exp(-now.Sub(r.riskAt).Seconds()/riskMemory.Seconds())
+	risk := r.risk * math.Exp(-now.Sub(r.riskAt).Seconds()/riskMemory.Seconds())
+	if risk < leastRisk {
+		return 0
+	}
+	return risk
 }
 
 // learnRisk takes in whether an attempt was shed or failed.
