--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -25,7 +25,7 @@
 // or that start again with empty windows.
 const (
 	ratioPart = 0.95
-	slackPart = 0.6
+	slackPart = 0.5
 	// hedgePart is the part of that which may go to hedges: a request that was
 	// shed or lost needs its second attempt more than one that is slow.
 	hedgePart = 0.7
