Nodes that the store turns away learn upstreams from peers

Change: a node whose calls fail, or whose configuration names services that it has not heard of, asks a peer once a second; only first-hand knowledge of the store is passed on, with its revision. Ruled out: upstreams within gossip (bytes for every change on every node).

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -2,16 +2,19 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/bronzereach/bronzereach/internal/entry"
 	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/member"
+	"github.com/bronzereach/bronzereach/pkg/upstream"
 )
 
 // Adapter connects a node to a platform other than the product's own: it brings
@@ -30,6 +33,9 @@
 	// NoteLeaving takes in that another node has learnt that an upstream leaves.
 	// It is called by one goroutine.
 	NoteLeaving(upstream, incarnation string)
+	// Registrations returns the upstreams as of a revision of the store, to tell
+	// them to another node; 0 if this node can't vouch for them.
+	Registrations() (revision uint64, registrations []upstream.Registration)
 	// Leave makes answers tell callers to connect elsewhere.
 	Leave()
 	// InProgress returns the number of requests without an answer.
@@ -48,6 +54,9 @@
 	// SpreadLeaving tells the other nodes that an upstream leaves. The
 	// incarnation tells this event from others of the same upstream.
 	SpreadLeaving(upstream, incarnation string)
+	// AskUpstreams asks a random peer for the upstreams that it knows of as of a
+	// later revision of the store; without any if it knows none.
+	AskUpstreams(ctx context.Context, known uint64) (revision uint64, registrations []upstream.Registration, err error)
 	// Watching reports whether this node is one of those that follow the store
 	// closely; the others hear of what is urgent from their peers.
 	Watching() bool
@@ -111,6 +120,89 @@
 	c.notice(now, &wire.Notice{Upstream: e.upstream, Incarnation: e.incarnation, Sequence: uint64(now.UnixNano())})
 }
 
+// ErrAlone means that there is no peer to ask.
+var ErrAlone = errors.New("no peer is known")
+
+// askTimeout bounds a question to a peer.
+const askTimeout = 500 * time.Millisecond
+
+// AskUpstreams asks a random peer for the upstreams that it knows of.
+func (n *Node) AskUpstreams(ctx context.Context, known uint64) (revision uint64, registrations []upstream.Registration, err error) {
+	defer util.Annotate(&err, "ask a peer for upstreams")
+	peer, found := n.randomPeer()
+	if !found {
+		return 0, nil, ErrAlone
+	}
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	call := &wire.Call{Body: &wire.Call_FetchUpstreams{FetchUpstreams: &wire.FetchUpstreams{KnownRevision: known}}}
+	answer, err := n.network.Ask(ctx, peer.VM, peer.PeerAddress, call)
+	if err != nil {
+		return 0, nil, err
+	}
+	return answer.GetUpstreams().GetRevision(), registrationsFromWire(answer.GetUpstreams().GetRegistrations()), nil
+}
+
+// randomPeer returns another member that is ready.
+func (n *Node) randomPeer() (member.Member, bool) {
+	var peers []member.Member
+	for _, m := range n.View().Members {
+		if m.State == member.Ready && m.VM != n.options.VM {
+			peers = append(peers, m)
+		}
+	}
+	if len(peers) == 0 {
+		return member.Member{}, false
+	}
+	return peers[rand.IntN(len(peers))], true
+}
+
+// handleFetchUpstreams tells another node of the upstreams.
+func (n *Node) handleFetchUpstreams(fetch *wire.FetchUpstreams, send func(*wire.Reply) error) {
+	upstreams := &wire.Upstreams{}
+	if n.adapter != nil {
+		revision, registrations := n.adapter.Registrations()
+		if revision > fetch.GetKnownRevision() {
+			upstreams = &wire.Upstreams{Revision: revision, Registrations: registrationsToWire(registrations)}
+		}
+	}
+	reply(send, &wire.Reply{Body: &wire.Reply_Upstreams{Upstreams: upstreams}})
+}
+
+func registrationsToWire(registrations []upstream.Registration) []*wire.Registration {
+	converted := make([]*wire.Registration, len(registrations))
+	for i, r := range registrations {
+		converted[i] = &wire.Registration{
+			Id:               r.ID,
+			Service:          r.Service,
+			Address:          r.Address,
+			AvailabilityZone: r.AvailabilityZone,
+			Slots:            uint32(r.Slots),
+			Born:             r.Born,
+			Leaving:          r.Leaving,
+			ColdMillis:       uint32(r.Cold.Milliseconds()),
+		}
+	}
+	return converted
+}
+
+func registrationsFromWire(registrations []*wire.Registration) []upstream.Registration {
+	converted := make([]upstream.Registration, len(registrations))
+	for i, r := range registrations {
+		converted[i] = upstream.Registration{
+			ID:               r.GetId(),
+			Service:          r.GetService(),
+			Address:          r.GetAddress(),
+			AvailabilityZone: r.GetAvailabilityZone(),
+			Slots:            int(r.GetSlots()),
+			Born:             r.GetBorn(),
+			Leaving:          r.GetLeaving(),
+			Cold:             time.Duration(r.GetColdMillis()) * time.Millisecond,
+		}
+	}
+	return converted
+}
+
 // Watching reports whether this node follows the store closely.
 func (n *Node) Watching() bool {
 	return n.control.watching.Load()
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -22,6 +22,8 @@
 		n.handleProbe(ctx, body.Probe, send)
 	case *wire.Call_Fetch:
 		n.handleFetch(ctx, body.Fetch, send)
+	case *wire.Call_FetchUpstreams:
+		n.handleFetchUpstreams(body.FetchUpstreams, send)
 	case *wire.Call_Forward:
 		forwarded := n.entry.Forwarded(ctx, body.Forward)
 		reply(send, &wire.Reply{Body: &wire.Reply_Forwarded{Forwarded: forwarded}})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -157,6 +157,18 @@
 	return s.table != nil && s.known
 }
 
+// Missing reports whether the table names a service of which no upstream has
+// been heard.
+func (r *Relay) Missing() bool {
+	s := r.state.Load()
+	for _, name := range s.table.Services() {
+		if s.services[name] == nil {
+			return true
+		}
+	}
+	return !s.known
+}
+
 // Table returns the table in force; nil before the first.
 func (r *Relay) Table() *route.Table {
 	return r.state.Load().table
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -4,6 +4,7 @@
 package route
 
 import (
+	"slices"
 	"strings"
 	"time"
 )
@@ -113,6 +114,8 @@
 	services map[string]Service
 	// hosts holds the routes by lower-case host and by prefix.
 	hosts map[string]map[string]*Route
+	// used lists the services that routes use, once each.
+	used []string
 }
 
 // NewTable returns the table of a configuration.
@@ -133,7 +136,10 @@
 			t.hosts[host] = map[string]*Route{}
 		}
 		t.hosts[host][r.Prefix] = r
+		t.used = append(t.used, r.Services()...)
 	}
+	slices.Sort(t.used)
+	t.used = slices.Compact(t.used)
 	return t
 }
 
@@ -162,6 +168,14 @@
 	return s, found
 }
 
+// Services lists the services that routes use; none for a nil table.
+func (t *Table) Services() []string {
+	if t == nil {
+		return nil
+	}
+	return t.used
+}
+
 // Find returns the route of the host with the longest prefix that begins the
 // path, or nil. A port in the host is ignored.
 func (t *Table) Find(host, path string) *Route {
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -104,6 +104,21 @@
 	}
 }
 
+// Adopt takes over all registrations of a peer that has the store's word for
+// them: what it no longer has is gone.
+func (r *Registry) Adopt(registrations []Registration) {
+	present := make(map[string]bool, len(registrations))
+	for _, registration := range registrations {
+		present[registration.ID] = true
+		r.Put(registration)
+	}
+	for id := range r.current {
+		if !present[id] {
+			r.Spoil(id)
+		}
+	}
+}
+
 // Expire gives up what has been missing for too long and reports whether there
 // was any.
 func (r *Registry) Expire(now time.Time) bool {
