A single silent call on the store is no outage; what is gone is told to the others

Ruled out: gossip (14 other notices of the same moment arrived after 0.2 s), lagging reads as such. Change: an outage is a second of failing calls or more; what is found gone by a list, or after the time to return, is spread as well. TestSilentCallIsNoOutage fails before the change.

--- a/internal/relay/delays.go
+++ b/internal/relay/delays.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/bronzereach/bronzereach/pkg/replica"
+	"github.com/bronzereach/bronzereach/pkg/route"
 )
 
 // delays learns for each route after what time a reply counts as a straggler.
@@ -26,6 +27,17 @@
 	return delay
 }
 
+// keep forgets the routes that a table does not have.
+func (d *delays) keep(table *route.Table) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for name := range d.routes {
+		if !table.Has(name) {
+			delete(d.routes, name)
+		}
+	}
+}
+
 // add notes the time of a reply.
 func (d *delays) add(name string, took time.Duration) {
 	d.mu.Lock()
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -29,9 +29,11 @@
 	// open counts shards without a final result, done those with a reply.
 	open, done int
 	attempts   int
-	// ran is the strongest that is known of all attempts.
+	// sawUnknown and sawRan tell how attempts without success ended.
 	sawUnknown, sawRan bool
-	failure            *Reply
+	// failure is the last failure that an upstream stated after it had run the
+	// request.
+	failure *Reply
 }
 
 // shard is one service that a flight asks.
@@ -264,6 +266,10 @@
 	if f.open == 0 || f.done+f.open < f.plan.least {
 		return true
 	}
+	if f.attempts == 0 && !now.Before(f.plan.lateAt) {
+		// It still waits for its first room: others may be served elsewhere.
+		return true
+	}
 	return f.plan.enough(now, f.done, len(f.shards)) || !now.Before(f.plan.limit)
 }
 
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -100,7 +100,7 @@
 	if p.shard && now.Before(p.answerAt) {
 		next = minTime(next, p.answerAt)
 	}
-	if p.shard && now.Before(p.lateAt) {
+	if now.Before(p.lateAt) {
 		next = minTime(next, p.lateAt)
 	}
 	return next
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -69,7 +69,8 @@
 // state is one consistent view of the outside. It is immutable.
 type state struct {
 	table *route.Table
-	// services holds every service that has or had an upstream.
+	// services holds every service that has an upstream, or had one and is in the
+	// table.
 	services map[string]*service
 	// known is true once the upstreams have been heard of.
 	known bool
@@ -95,6 +96,7 @@
 	next.table = table
 	r.state.Store(&next)
 	r.bound(&next)
+	r.delays.keep(table)
 }
 
 // SetUpstreams replaces what is known of all upstreams.
@@ -108,7 +110,11 @@
 		byService[registration.Service] = append(byService[registration.Service], registration)
 	}
 	for name, s := range old.services {
-		next.services[name] = s
+		if len(byService[name]) > 0 || old.table.Uses(name) {
+			next.services[name] = s
+			continue
+		}
+		s.sync(time.Now(), nil)
 	}
 	for name := range byService {
 		if next.services[name] == nil {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -114,8 +114,9 @@
 	services map[string]Service
 	// hosts holds the routes by lower-case host and by prefix.
 	hosts map[string]map[string]*Route
-	// used lists the services that routes use, once each.
-	used []string
+	// used lists the services that routes use, and names the routes, in order.
+	used  []string
+	names []string
 }
 
 // NewTable returns the table of a configuration.
@@ -137,7 +138,9 @@
 		}
 		t.hosts[host][r.Prefix] = r
 		t.used = append(t.used, r.Services()...)
+		t.names = append(t.names, r.Name)
 	}
+	slices.Sort(t.names)
 	slices.Sort(t.used)
 	t.used = slices.Compact(t.used)
 	return t
@@ -176,6 +179,21 @@
 	return t.used
 }
 
+// Uses reports whether a route uses the service.
+func (t *Table) Uses(service string) bool {
+	_, found := slices.BinarySearch(t.Services(), service)
+	return found
+}
+
+// Has reports whether there is a route of the name.
+func (t *Table) Has(name string) bool {
+	if t == nil {
+		return false
+	}
+	_, found := slices.BinarySearch(t.names, name)
+	return found
+}
+
 // Find returns the route of the host with the longest prefix that begins the
 // path, or nil. A port in the host is ignored.
 func (t *Table) Find(host, path string) *Route {
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -10,6 +10,10 @@
 // registration lapsed meanwhile may take to register again.
 const returnTime = 2200 * time.Millisecond
 
+// outageTime is how long calls on the store have to fail for registrations to
+// have lapsed meanwhile; a single call that went silent is no outage.
+const outageTime = time.Second
+
 // Registry keeps the registrations that a store holds, through the store's
 // outages: what is missing just after one counts only once its upstream has had
 // the time to register again. It reads no clock and is not safe for concurrent
@@ -19,9 +23,9 @@
 	// missing holds when a registration was first seen to be gone, of those
 	// that are kept a while.
 	missing map[string]time.Time
-	// lost is true while the store can't be reached; found is when it could be
-	// again.
-	lost  bool
+	// lost is since when the store can't be reached, zero while it can; found is
+	// when the last outage ended.
+	lost  time.Time
 	found time.Time
 	// leaving holds until when peers' word that an upstream leaves goes before
 	// what the store says.
@@ -33,16 +37,19 @@
 	return &Registry{current: map[string]Registration{}, missing: map[string]time.Time{}, leaving: map[string]time.Time{}}
 }
 
-// Lose notes that the store can't be reached.
-func (r *Registry) Lose() {
-	r.lost = true
+// Lose notes that a call on the store failed.
+func (r *Registry) Lose(now time.Time) {
+	if r.lost.IsZero() {
+		r.lost = now
+	}
 }
 
 // Find notes that the store answers.
 func (r *Registry) Find(now time.Time) {
-	if r.lost {
-		r.lost, r.found = false, now
+	if !r.lost.IsZero() && now.Sub(r.lost) >= outageTime {
+		r.found = now
 	}
+	r.lost = time.Time{}
 }
 
 // Put takes over a registration.
@@ -87,21 +94,23 @@
 
 // recent reports whether an outage ended a moment ago.
 func (r *Registry) recent(now time.Time) bool {
-	return r.lost || !r.found.IsZero() && now.Sub(r.found) < returnTime
+	return !r.found.IsZero() && now.Sub(r.found) < returnTime
 }
 
-// Replace takes over all registrations of the store at once.
-func (r *Registry) Replace(now time.Time, registrations []Registration) {
+// Replace takes over all registrations of the store at once and returns the IDs
+// of those that are gone.
+func (r *Registry) Replace(now time.Time, registrations []Registration) (gone []string) {
 	present := make(map[string]bool, len(registrations))
 	for _, registration := range registrations {
 		present[registration.ID] = true
 		r.Put(registration)
 	}
 	for id := range r.current {
-		if !present[id] {
-			r.Remove(now, id)
+		if !present[id] && r.Remove(now, id) {
+			gone = append(gone, id)
 		}
 	}
+	return gone
 }
 
 // Adopt takes over all registrations of a peer that has the store's word for
@@ -119,27 +128,23 @@
 	}
 }
 
-// Expire gives up what has been missing for too long and reports whether there
-// was any.
-func (r *Registry) Expire(now time.Time) bool {
-	hearsay := false
+// Expire gives up what has been missing for too long and forgets what peers
+// said long ago. It returns the IDs that are gone and whether anything changed.
+func (r *Registry) Expire(now time.Time) (gone []string, changed bool) {
 	for id, until := range r.leaving {
 		if !now.Before(until) {
 			delete(r.leaving, id)
-			hearsay = true
+			changed = true
 		}
 	}
-	return r.expireMissing(now) || hearsay
-}
-
-func (r *Registry) expireMissing(now time.Time) bool {
-	if r.recent(now) || len(r.missing) == 0 {
-		return false
+	if r.recent(now) {
+		return nil, changed
 	}
 	for id := range r.missing {
+		gone = append(gone, id)
 		r.Spoil(id)
 	}
-	return true
+	return gone, changed || len(gone) > 0
 }
 
 // All returns the registrations by ID. Of several at one address only the one
--- a/pkg/upstream/registry_test.go
+++ b/pkg/upstream/registry_test.go
@@ -20,7 +20,7 @@
 	now := time.Unix(100, 0)
 	a, b := Registration{ID: "a", Address: "1"}, Registration{ID: "b", Address: "2"}
 	r.Replace(now, []Registration{a, b})
-	r.Lose()
+	r.Lose(now)
 	now = now.Add(10 * time.Second)
 	r.Find(now)
 	r.Replace(now, nil)
@@ -29,11 +29,12 @@
 	}
 	now = now.Add(time.Second)
 	r.Put(a)
-	if r.Expire(now) {
+	if _, changed := r.Expire(now); changed {
 		t.Error("given up before its time")
 	}
-	if now = now.Add(returnTime); !r.Expire(now) || ids(r) != "a" {
-		t.Errorf("after the time to return: %q", ids(r))
+	now = now.Add(returnTime)
+	if gone, changed := r.Expire(now); !changed || len(gone) != 1 || gone[0] != "b" || ids(r) != "a" {
+		t.Errorf("after the time to return: %q, gone %v", ids(r), gone)
 	}
 }
 
@@ -61,3 +62,18 @@
 		t.Errorf("%q at the address", got)
 	}
 }
+
+// TestSilentCallIsNoOutage: after a single call that failed, a registration that
+// is gone counts at once. It was kept for the time to return, and a node sent to
+// an upstream that had left (Sadykov, scale-2, seed 514591611410).
+func TestSilentCallIsNoOutage(t *testing.T) {
+	r := NewRegistry()
+	now := time.Unix(100, 0)
+	r.Replace(now, []Registration{{ID: "a", Address: "1"}})
+	r.Lose(now)
+	now = now.Add(100 * time.Millisecond)
+	r.Find(now)
+	if !r.Remove(now, "a") || ids(r) != "" {
+		t.Errorf("still there: %q", ids(r))
+	}
+}
