Answers go out by the time that callers have used already; hedging goes on

The deadlines that callers state tell why: 1999 ms for those who are connected, 1983 to 1991 for those who looked up an address or connected first; these had used 10 to 16 ms. Change: the longest deadline stated of late on a route is what its callers begin with, and the difference is taken off the objective; stragglers are looked for four times, each after twice as long; the way to the caller is taken off the limit. The log line of an answer says why a shard got no further attempt. TestPlanNeverSpins allows as many wakes as there are rounds (6 in place of 4).

--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -44,11 +44,12 @@
 	running []*attempt
 	// sent counts attempts that may have run.
 	sent    int
-	hedged  bool
 	waiting bool
 	settled bool
 	reply   *Reply
 	reason  Reason
+	// denied is why the shard got no further attempt, if it was refused one.
+	denied Reason
 }
 
 func (r *Relay) newFlight(request *Request, s *state) *flight {
@@ -63,7 +64,7 @@
 	for i, name := range names {
 		f.shards[i] = shard{service: s.services[name], name: name}
 	}
-	f.plan = newPlan(request, r.delays.get(request.Route.Name))
+	f.plan = newPlan(request, r.delays.get(request.Route.Name), r.allowances.spent(request))
 	return f
 }
 
@@ -100,7 +101,7 @@
 func (f *flight) hopeless() *Answer {
 	now := time.Now()
 	usable := 0
-	wait := f.plan.budget()
+	wait := f.plan.comeBack
 	for i := range f.shards {
 		s := f.shards[i].service
 		if s == nil {
@@ -215,8 +216,9 @@
 	if !now.Before(f.plan.limit) {
 		return false
 	}
-	chosen := s.service.again(now, s.tried, cause)
+	chosen, denied := s.service.again(now, s.tried, cause)
 	if chosen == nil {
+		s.denied = denied
 		return false
 	}
 	f.relay.Metrics.extra(cause.String())
@@ -224,18 +226,19 @@
 	return true
 }
 
-// hedge asks a second replica of each shard whose first one straggles.
+// hedge asks another replica of each shard whose last one straggles.
 func (f *flight) hedge(now time.Time) {
 	if !f.plan.due(now) {
 		return
 	}
 	for i := range f.shards {
 		s := &f.shards[i]
-		if s.settled || s.hedged || len(s.running) != 1 {
+		if s.settled || len(s.running) == 0 {
 			continue
 		}
-		s.hedged = true
-		f.another(i, s, budget.Hedge)
+		if last := s.running[len(s.running)-1]; f.plan.straggles(now, last.started) {
+			f.another(i, s, budget.Hedge)
+		}
 	}
 }
 
@@ -340,7 +343,7 @@
 	case len(f.request.Route.Shards) == 0 && f.failure != nil:
 		answer.Outcome, answer.Reply, answer.Reason = Answered, f.failure, ReasonFailure
 	case answer.Run == NotRun:
-		answer.Outcome, answer.Reason, answer.RetryAfter = Refused, f.reason(), clampRetry(f.plan.budget())
+		answer.Outcome, answer.Reason, answer.RetryAfter = Refused, f.reason(), clampRetry(f.plan.comeBack)
 	case !now.Before(f.plan.limit):
 		answer.Outcome, answer.Reason = TimedOut, ReasonDeadline
 	default:
@@ -369,7 +372,7 @@
 		if reason == "" {
 			reason = ReasonStraggler
 		}
-		omitted = append(omitted, Omission{Service: s.name, Reason: reason})
+		omitted = append(omitted, Omission{Service: s.name, Reason: reason, Denied: s.denied})
 	}
 	return omitted
 }
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -76,6 +76,9 @@
 			b.WriteByte(',')
 		}
 		fmt.Fprintf(&b, "%s:%s", o.Service, o.Reason)
+		if o.Denied != "" {
+			fmt.Fprintf(&b, "/%s", o.Denied)
+		}
 	}
 	return b.String()
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -24,6 +24,8 @@
 	Received time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
+	// Unbounded is true if the caller stated no deadline.
+	Unbounded bool
 	// Route and prepared are set by the relay.
 	Route    *route.Route
 	prepared Prepared
@@ -135,6 +137,7 @@
 	ReasonMalformed  Reason = "malformed"
 	ReasonNoUpstream Reason = "noUpstream"
 	ReasonNoRoom     Reason = "noRoom"
+	ReasonNoBudget   Reason = "noBudget"
 	ReasonShed       Reason = "shed"
 	ReasonUnreached  Reason = "unreached"
 	ReasonBroken     Reason = "broken"
@@ -154,6 +157,9 @@
 type Omission struct {
 	Service string
 	Reason  Reason
+	// Denied is why the shard got no further attempt; empty if it was not
+	// refused one.
+	Denied Reason
 }
 
 // Answer is what a caller gets.
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -7,6 +7,9 @@
 	// firstHedge and lastHedge bound when a second replica is asked.
 	firstHedge = 0.08
 	lastHedge  = 0.40
+	// hedgeRounds is how often a flight looks for shards that straggle; each time
+	// after twice as long.
+	hedgeRounds = 4
 	// callerDelay is the part of the objective left for the way to the caller
 	// and back.
 	callerDelay = 6 * time.Millisecond
@@ -20,10 +23,14 @@
 
 // plan is when a flight does what. Its decisions are pure.
 type plan struct {
-	// hedgeAt is when shards without a reply get a second attempt.
+	// hedgeAt is when shards whose last attempt has no reply get another.
 	hedgeAt time.Time
-	// hedged is true once that has been done, or if it may not be.
-	hedged bool
+	// hedgeDelay is the time after which an attempt counts as a straggler.
+	hedgeDelay time.Duration
+	// rounds is how often that may still happen.
+	rounds int
+	// comeBack is a usual time after which a refused caller may come back.
+	comeBack time.Duration
 	// answerAt is when an answer goes out without its last shards.
 	answerAt time.Time
 	// lateAt is when an answer that could not go out at answerAt goes out; late
@@ -38,28 +45,34 @@
 }
 
 // newPlan plans a request. The usual delay is the time after which a reply
-// counts as a straggler; 0 if that is not known.
-func newPlan(request *Request, usual time.Duration) plan {
+// counts as a straggler; 0 if that is not known. Spent is how much of the
+// objective the caller had used before the request arrived.
+func newPlan(request *Request, usual, spent time.Duration) plan {
 	matched := request.Route
 	objective := matched.Objective
 	limit := request.limit()
 	if objective <= 0 {
 		objective = limit.Sub(request.Received)
 	}
+	began := request.Received.Add(-spent)
 	earliest := time.Duration(firstHedge * float64(objective))
-	latest := time.Duration(lastHedge * float64(objective))
+	latest := max(earliest, time.Duration(lastHedge*float64(objective-spent)))
 	delay := latest
 	if usual > 0 {
 		delay = min(max(usual, earliest), latest)
 	}
 	p := plan{
-		hedgeAt:  request.Received.Add(delay),
-		hedged:   !matched.Idempotent,
-		answerAt: request.Received.Add(objective - callerDelay - answerMargin),
-		lateAt:   request.Received.Add(time.Duration(patience * float64(objective))),
-		limit:    limit.Add(-2 * answerMargin),
-		least:    1,
-		shard:    len(matched.Shards) > 0,
+		hedgeAt:    request.Received.Add(delay),
+		hedgeDelay: delay,
+		answerAt:   began.Add(objective - callerDelay - answerMargin),
+		lateAt:     began.Add(time.Duration(patience * float64(objective))),
+		limit:      limit.Add(-callerDelay - 2*answerMargin),
+		least:      1,
+		shard:      len(matched.Shards) > 0,
+	}
+	p.comeBack = p.answerAt.Sub(p.hedgeAt)
+	if matched.Idempotent {
+		p.rounds = hedgeRounds
 	}
 	if p.shard {
 		p.least = matched.LeastShards()
@@ -67,15 +80,23 @@
 	return p
 }
 
-// due reports whether the flight asks second replicas now, and notes it.
+// due reports whether the flight asks further replicas now, and plans the next
+// such moment.
 func (p *plan) due(now time.Time) bool {
-	if p.hedged || now.Before(p.hedgeAt) {
+	if p.rounds == 0 || now.Before(p.hedgeAt) {
 		return false
 	}
-	p.hedged = true
+	p.rounds--
+	p.hedgeAt = now.Add(p.hedgeDelay << (hedgeRounds - p.rounds))
 	return true
 }
 
+// straggles reports whether an attempt that began at the time counts as a
+// straggler. The first ones begin a little after the request arrived.
+func (p *plan) straggles(now, began time.Time) bool {
+	return now.Sub(began) >= p.hedgeDelay/2
+}
+
 // enough reports whether an answer with the given shards goes out now. While
 // it is in time, an answer with a part left out is worth more than a late one;
 // once it is late, it waits a while for what is missing.
@@ -94,7 +115,7 @@
 // which there is nothing to do.
 func (p *plan) next(now time.Time) time.Time {
 	next := p.limit
-	if !p.hedged {
+	if p.rounds > 0 {
 		next = minTime(next, p.hedgeAt)
 	}
 	if p.shard && now.Before(p.answerAt) {
@@ -106,11 +127,6 @@
 	return next
 }
 
-// budget returns a usual time after which a refused caller may come back.
-func (p *plan) budget() time.Duration {
-	return p.answerAt.Sub(p.hedgeAt)
-}
-
 func minTime(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -12,7 +12,7 @@
 func planOf(matched route.Route, usual time.Duration) (plan, time.Time) {
 	start := time.Unix(100, 0)
 	request := &Request{Received: start, Deadline: start.Add(1500 * time.Millisecond), Route: &matched}
-	return newPlan(request, usual), start
+	return newPlan(request, usual, 0), start
 }
 
 // queryRoute is a route over ten shards of which nine are enough.
@@ -40,7 +40,7 @@
 		done := rapid.IntRange(0, len(matched.Shards)).Draw(t, "done")
 		p, now := planOf(matched, time.Duration(rapid.IntRange(0, 400).Draw(t, "usual"))*time.Millisecond)
 		for wakes := 0; now.Before(p.limit) && !p.enough(now, done, len(matched.Shards)); wakes++ {
-			if wakes > 4 {
+			if wakes > 2+hedgeRounds {
 				t.Fatalf("woken %d times before the limit", wakes)
 			}
 			next := p.next(now)
@@ -74,3 +74,43 @@
 		t.Error("a late answer waited too long")
 	}
 }
+
+// TestPlanCountsTimeSpent: a caller who has used a part of the objective before
+// the request arrived gets its answer sooner, so that it is in time there.
+func TestPlanCountsTimeSpent(t *testing.T) {
+	const spent = 16 * time.Millisecond
+	fresh, _ := planOf(queryRoute(), 0)
+	matched := queryRoute()
+	start := time.Unix(100, 0)
+	request := &Request{Received: start, Deadline: start.Add(1500*time.Millisecond - spent), Route: &matched}
+	p := newPlan(request, 0, spent)
+	if got := fresh.answerAt.Sub(p.answerAt); got != spent {
+		t.Errorf("the answer goes out %s sooner, want %s", got, spent)
+	}
+	if !p.hedgeAt.Before(fresh.hedgeAt) {
+		t.Error("stragglers are not asked again sooner")
+	}
+}
+
+// TestStragglersAreAskedAgain: a flight looks for stragglers several times, each
+// time after twice as long; an attempt that has just begun is none.
+func TestStragglersAreAskedAgain(t *testing.T) {
+	p, start := planOf(queryRoute(), 10*time.Millisecond)
+	now, last := start, time.Duration(0)
+	for round := range hedgeRounds {
+		wait := p.hedgeAt.Sub(now)
+		if wait < last {
+			t.Errorf("round %d after %s, the one before after %s", round, wait, last)
+		}
+		now, last = p.hedgeAt, wait
+		if !p.due(now) {
+			t.Fatalf("round %d is not due", round)
+		}
+		if !p.straggles(now, start.Add(2*time.Millisecond)) || p.straggles(now, now.Add(-time.Millisecond)) {
+			t.Errorf("round %d: wrong stragglers", round)
+		}
+	}
+	if p.due(now.Add(time.Second)) {
+		t.Error("it never ends")
+	}
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -63,6 +63,7 @@
 	inProgress atomic.Int64
 	splits     atomic.Uint64
 	delays     delays
+	allowances allowances
 	lines      lineBudget
 }
 
@@ -97,6 +98,7 @@
 	r.state.Store(&next)
 	r.bound(&next)
 	r.delays.keep(table)
+	r.allowances.keep(table)
 }
 
 // SetUpstreams replaces what is known of all upstreams.
@@ -192,6 +194,7 @@
 	defer r.inProgress.Add(-1)
 	if request.Deadline.IsZero() {
 		request.Deadline = request.Received.Add(defaultDeadline)
+		request.Unbounded = true
 	}
 	answer := r.answer(ctx, request)
 	r.note(request, answer)
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -104,17 +104,22 @@
 	s.waiting = slices.DeleteFunc(s.waiting, func(w waiter) bool { return w.flight == f })
 }
 
-// again chooses a replica for a further attempt, within the budget; nil if
-// there is none.
-func (s *service) again(now time.Time, tried []*target, cause budget.Cause) *target {
+// again chooses a replica for a further attempt, within the budget. Without one
+// it returns why, if there is one that has not been tried.
+func (s *service) again(now time.Time, tried []*target, cause budget.Cause) (chosen *target, denied Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	chosen := s.group.Choose(now, tried, s.random)
-	if chosen == nil || !s.window.Spend(now.Sub(s.relay.started), s.relay.config.Nodes(), cause) {
-		return nil
+	chosen = s.group.Choose(now, tried, s.random)
+	switch {
+	case chosen == nil && len(tried) >= len(s.group.Replicas()):
+		return nil, ""
+	case chosen == nil:
+		return nil, ReasonNoRoom
+	case !s.window.Spend(now.Sub(s.relay.started), s.relay.config.Nodes(), cause):
+		return nil, ReasonNoBudget
 	}
 	s.group.Start(chosen, now)
-	return chosen
+	return chosen, ""
 }
 
 // finish notes how an attempt ended and hands its room on.
