One node of a zone follows the store closely; nodes that start do so later

Counted from the code: two nodes of each zone watched both kinds every 3.4 s at full price; each of 64 nodes did so for its first seconds, as it knew of no peer or took itself for the only node; and the others returned from a watch up to three times a second while upstreams changed. Ruled out: fewer lists at the start (a stale list could lead a node back to an older configuration).

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -219,6 +219,9 @@
 	hearingWindow = 1500 * time.Millisecond
 	// hearingPeers is the number of such peers that are enough.
 	hearingPeers = 3
+	// settleTime is how long after its start a node does not judge whether it can
+	// rely on its peers; it has just read the store.
+	settleTime = 2 * time.Second
 )
 
 // updateWatching decides whether the node follows the store closely: as one of
@@ -234,7 +237,14 @@
 			heard++
 		}
 	}
-	c.watching.Store(c.chosen || heard < hearingPeers)
+	c.watching.Store(followsClosely(now.Sub(c.started), c.chosen, heard))
+}
+
+// followsClosely decides whether a node that runs for the time, is one of the
+// watchers or not, and has just heard the number of peers follows the store
+// closely. It answers the load of a fleet whose nodes all start at once.
+func followsClosely(running time.Duration, chosen bool, heard int) bool {
+	return running >= settleTime && (chosen || heard < hearingPeers)
 }
 
 // NoteStore tells whether the last call on the platform's store was answered.
--- a/pkg/member/watchers.go
+++ b/pkg/member/watchers.go
@@ -7,26 +7,31 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// watchersPerZone is the number of members of an availability zone that follow
-// the platform's store closely.
-const watchersPerZone = 2
+// leastWatchers is the number of watchers of a region with few availability
+// zones; with more zones there is one in each.
+const leastWatchers = 3
 
 // Watchers returns the ready members that follow the platform's store closely
-// for the others, a few of each availability zone, picked by hash without a
-// lease. All nodes with the same table choose the same.
+// for the others: of each region, some of each availability zone, picked by hash
+// without a lease. All nodes with the same table choose the same.
 func Watchers(members []Member) []Member {
-	type place struct{ region, zone string }
-	zones := map[place][]Member{}
+	regions := map[string]map[string][]Member{}
 	for _, m := range members {
-		if m.State == Ready {
-			zone := place{region: m.Region, zone: m.AvailabilityZone}
-			zones[zone] = append(zones[zone], m)
+		if m.State != Ready {
+			continue
 		}
+		if regions[m.Region] == nil {
+			regions[m.Region] = map[string][]Member{}
+		}
+		regions[m.Region][m.AvailabilityZone] = append(regions[m.Region][m.AvailabilityZone], m)
 	}
 	var watchers []Member
-	for _, zone := range zones {
-		slices.SortFunc(zone, byHash)
-		watchers = append(watchers, zone[:min(watchersPerZone, len(zone))]...)
+	for _, zones := range regions {
+		perZone := (leastWatchers + len(zones) - 1) / len(zones)
+		for _, zone := range zones {
+			slices.SortFunc(zone, byHash)
+			watchers = append(watchers, zone[:min(perZone, len(zone))]...)
+		}
 	}
 	slices.SortFunc(watchers, byHash)
 	return watchers
