--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -9,7 +9,6 @@
 	"flag"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -303,31 +302,13 @@
 	c.platform.SetVMs(vms)
 }
 
-// Ports are handed out below those that the system picks for connections, so
-// that none is taken between being chosen and being listened on.
-const (
-	firstPort = 20000
-	lastPort  = 32000
-)
-
-var nextPort = firstPort + os.Getpid()%1000*10
-
 func freeAddress(t *testing.T, ip string) string {
 	t.Helper()
-	for range lastPort - firstPort {
-		nextPort++
-		if nextPort >= lastPort {
-			nextPort = firstPort
-		}
-		address := fmt.Sprintf("%s:%d", ip, nextPort)
-		listener, err := net.Listen("tcp", address)
-		if err == nil {
-			_ = listener.Close()
-			return address
-		}
+	address, err := standin.FreeAddress(ip)
+	if err != nil {
+		t.Fatal(err)
 	}
-	t.Fatal("no free port")
-	return ""
+	return address
 }
 
 // await waits for a condition and fails the test if it does not come.
--- a/internal/relay/connection.go
+++ b/internal/relay/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -81,14 +82,19 @@
 	return c
 }
 
-// put keeps a connection for later, unless there are enough.
+// put keeps a connection for later. If there are enough, it takes the place of
+// the one that has been idle for longest and that the upstream closes first.
 func (p *pool) put(c *connection, keep int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.closed || len(p.idle) >= keep {
+	if p.closed || keep < 1 {
 		c.close()
 		return
 	}
+	for len(p.idle) >= keep {
+		p.idle[0].close()
+		p.idle = slices.Delete(p.idle, 0, 1)
+	}
 	p.idle = append(p.idle, c)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -151,11 +151,17 @@
 	}
 }
 
-// Tick brings bounds that depend on the number of nodes up to date.
+// Tick brings bounds that depend on the number of nodes up to date and closes
+// connections that upstreams are about to close.
 func (r *Relay) Tick() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.bound(r.state.Load())
+	current := r.state.Load()
+	r.bound(current)
+	now := time.Now()
+	for _, s := range current.services {
+		s.expire(now)
+	}
 }
 
 // Known reports whether the relay can serve: it has a table and has heard of
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -175,6 +175,15 @@
 	return s.group.Usable(now)
 }
 
+// expire closes the idle connections that upstreams are about to close.
+func (s *service) expire(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, target := range s.group.Replicas() {
+		target.Owned.expire(now)
+	}
+}
+
 // keep returns the number of idle connections to keep to one replica.
 func (s *service) keep() int {
 	s.mu.Lock()
