--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -156,7 +156,7 @@
 		{"member", "processor in all", "sum", s.RestProcessor + assignment + parse, limitProcessor, "cores", ""},
 		{"member", "memory", "smallMegabytes + slope * (2900-smallNodes)", s.SmallMegabytes + memorySlope*perNode, limitMegabytes, "MB", "one row and at most two links for each member"},
 		{"member", "configuration in force everywhere", "spreadRounds / 4 a second", spread, limitSeconds, "s", "each exchange names the version; who is behind fetches"},
-		{"watcher", "reads of the platform", "11 zones * 2 * (1/4 watches + 1 list) a second", watchers * (watchesASecond + listsASecond), limitReads, "calls/s", "two watchers a zone by hash order, no lease"},
+		{"watcher", "reads of the platform", "11 zones * 2 * (1/4 watches + 1 list) a second", watchers * (watchesASecond + listsASecond), limitReads, "calls/s", "one watcher a zone, three a region at least, so two a zone at most; by hash order, no lease"},
 		{"watcher", "writes to the platform", "11 zones * 2 * 1/5 status + 2600/day", watchers*statusesASecond + changesSecond, limitWrites, "calls/s", "one status object a zone"},
 		{"watcher", "configuration object", "wholeBytes", s.WholeBytes / 1e6, 1, "MB", "compressed record"},
 		{"gate", "services a node", "22000 / 3 replicas / 2900", float64(upstreams) / replicas / nodes, 0, "services", "assignment"},
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -30,6 +30,9 @@
 
 // runNode runs one node until it fails or is told to end.
 func runNode(arguments []string, streams Streams) (int, error) {
+	// Signals may come as soon as the process runs.
+	caught := catchSignals()
+	defer caught.release()
 	flags, err := parseNode(arguments, streams.Err)
 	if err != nil {
 		return exitUsage, err
@@ -61,14 +64,11 @@
 		return exitFailed, err
 	}
 	log.Info("nodeStarted", "vm", options.VM, "callerAddress", n.CallerAddress(), "peerAddress", n.PeerAddress())
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, os.Interrupt, syscall.SIGTERM)
-	defer signal.Stop(signals)
-	l := &leaver{node: n, log: log, signals: signals}
+	l := &leaver{node: n, log: log, signals: caught.leave}
 	go l.loop()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	r := newReloader(flags.settings, n, log)
+	r := newReloader(flags.settings, n, log, caught.reload)
 	go r.loop(ctx)
 	if err := n.Run(ctx); err != nil {
 		return exitFailed, err
@@ -80,6 +80,25 @@
 	return exitDone, nil
 }
 
+// signalSet is the signals that a node catches.
+type signalSet struct {
+	// leave holds two: the second one cuts off what is in progress.
+	leave  chan os.Signal
+	reload chan os.Signal
+}
+
+func catchSignals() signalSet {
+	s := signalSet{leave: make(chan os.Signal, 2), reload: make(chan os.Signal, 1)}
+	signal.Notify(s.leave, os.Interrupt, syscall.SIGTERM)
+	signal.Notify(s.reload, syscall.SIGHUP)
+	return s
+}
+
+func (s signalSet) release() {
+	signal.Stop(s.leave)
+	signal.Stop(s.reload)
+}
+
 // leaver ends a node on signals: in peace on the first, at once on the second.
 type leaver struct {
 	node    *node.Node
--- a/internal/cli/reload.go
+++ b/internal/cli/reload.go
@@ -4,8 +4,6 @@
 	"bytes"
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -23,13 +21,12 @@
 	node    *node.Node
 	log     logr.Logger
 	text    []byte
-	signals chan os.Signal
+	signals <-chan os.Signal
 }
 
-// newReloader returns a reloader that catches its signal from now on.
-func newReloader(path string, n *node.Node, log logr.Logger) *reloader {
-	r := &reloader{path: path, node: n, log: log, signals: make(chan os.Signal, 1)}
-	signal.Notify(r.signals, syscall.SIGHUP)
+// newReloader returns a reloader of the settings that the node has now.
+func newReloader(path string, n *node.Node, log logr.Logger, signals <-chan os.Signal) *reloader {
+	r := &reloader{path: path, node: n, log: log, signals: signals}
 	if text, err := os.ReadFile(path); err == nil {
 		r.text = text
 	}
@@ -38,7 +35,6 @@
 
 // loop looks at the file on each signal and from time to time.
 func (r *reloader) loop(ctx context.Context) {
-	defer signal.Stop(r.signals)
 	ticker := time.NewTicker(settingsInterval)
 	defer ticker.Stop()
 	for {
