--- a/pkg/member/serving_test.go
+++ b/pkg/member/serving_test.go
@@ -69,3 +69,36 @@
 		t.Errorf("zones %v", zones)
 	}
 }
+
+// TestWeakServeOnlyIfNeeded plays a fleet of eight strong nodes and many weak
+// ones: the strong ones serve alone while there are enough of them, and the weak
+// ones help once most of the strong ones are lost.
+func TestWeakServeOnlyIfNeeded(t *testing.T) {
+	members := fleet(64)
+	for i := range members {
+		members[i].AvailabilityZone = fmt.Sprint("zone-", i%4)
+		members[i].Capacity = 192
+		if i < 8 {
+			members[i].Capacity = 800
+		}
+	}
+	if got := Serving(members, 64); len(got) != 8 || got[7].Capacity != 800 {
+		t.Errorf("%d serve, the last with %d", len(got), got[len(got)-1].Capacity)
+	}
+	for i := range 4 {
+		members[i].State = Dead
+	}
+	got := Serving(members, 64)
+	if len(got) < leastServing || got[0].Capacity != 800 {
+		t.Errorf("%d serve after a loss, the first with %d", len(got), got[0].Capacity)
+	}
+	for i := range members {
+		members[i].State, members[i].Capacity = Ready, 192
+		if i < 6 {
+			members[i].Capacity = 400
+		}
+	}
+	if got := Serving(members, 64); len(got) != 12 {
+		t.Errorf("%d serve where the strong ones hold a sixth of the capacity", len(got))
+	}
+}
