--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -64,7 +64,8 @@
 	for i, name := range names {
 		f.shards[i] = shard{service: s.services[name], name: name}
 	}
-	f.plan = newPlan(request, r.delays.get(request.Route.Name), r.allowances.spent(request))
+	request.spent = r.allowances.spent(request)
+	f.plan = newPlan(request, r.delays.get(request.Route.Name))
 	return f
 }
 
--- a/internal/relay/journal.go
+++ b/internal/relay/journal.go
@@ -64,7 +64,7 @@
 	r.config.Log.Info("requestAnswered", "requestID", request.ID, "route", name, "host", request.Host,
 		"configVersion", answer.ConfigVersion, "outcome", answer.Outcome.String(), "reason", string(answer.Reason),
 		"run", answer.Run.String(), "parts", len(answer.Parts), "omitted", omissions(answer.Omitted),
-		"attempts", answer.Attempts, "tookMs", took.Milliseconds(),
+		"attempts", answer.Attempts, "tookMs", took.Milliseconds(), "spentMs", request.spent.Milliseconds(),
 		"leftMs", request.Deadline.Sub(now).Milliseconds(), "retryAfterMs", answer.RetryAfter.Milliseconds(),
 		"linesSkipped", skipped)
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -26,9 +26,11 @@
 	Deadline time.Time
 	// Unbounded is true if the caller stated no deadline.
 	Unbounded bool
-	// Route and prepared are set by the relay.
+	// Route, prepared and spent are set by the relay. Spent is how much of the
+	// objective the caller had used before the request arrived.
 	Route    *route.Route
 	prepared Prepared
+	spent    time.Duration
 }
 
 // Prepared is a request as it goes to upstreams, but for what differs between
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -45,18 +45,17 @@
 }
 
 // newPlan plans a request. The usual delay is the time after which a reply
-// counts as a straggler; 0 if that is not known. Spent is how much of the
-// objective the caller had used before the request arrived.
-func newPlan(request *Request, usual, spent time.Duration) plan {
+// counts as a straggler; 0 if that is not known.
+func newPlan(request *Request, usual time.Duration) plan {
 	matched := request.Route
 	objective := matched.Objective
 	limit := request.limit()
 	if objective <= 0 {
 		objective = limit.Sub(request.Received)
 	}
-	began := request.Received.Add(-spent)
+	began := request.Received.Add(-request.spent)
 	earliest := time.Duration(firstHedge * float64(objective))
-	latest := max(earliest, time.Duration(lastHedge*float64(objective-spent)))
+	latest := max(earliest, time.Duration(lastHedge*float64(objective-request.spent)))
 	delay := latest
 	if usual > 0 {
 		delay = min(max(usual, earliest), latest)
--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -12,7 +12,7 @@
 func planOf(matched route.Route, usual time.Duration) (plan, time.Time) {
 	start := time.Unix(100, 0)
 	request := &Request{Received: start, Deadline: start.Add(1500 * time.Millisecond), Route: &matched}
-	return newPlan(request, usual, 0), start
+	return newPlan(request, usual), start
 }
 
 // queryRoute is a route over ten shards of which nine are enough.
@@ -82,8 +82,8 @@
 	fresh, _ := planOf(queryRoute(), 0)
 	matched := queryRoute()
 	start := time.Unix(100, 0)
-	request := &Request{Received: start, Deadline: start.Add(1500*time.Millisecond - spent), Route: &matched}
-	p := newPlan(request, 0, spent)
+	request := &Request{Received: start, Deadline: start.Add(1500*time.Millisecond - spent), Route: &matched, spent: spent}
+	p := newPlan(request, 0)
 	if got := fresh.answerAt.Sub(p.answerAt); got != spent {
 		t.Errorf("the answer goes out %s sooner, want %s", got, spent)
 	}
