--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -229,12 +229,16 @@
 	return answer
 }
 
-// services returns the names of the services that one request goes to.
+// services returns the names of the services that one request goes to; none if
+// no target of the route has a weight.
 func (r *Relay) services(matched *route.Route) []string {
 	if len(matched.Shards) > 0 {
 		return matched.Shards
 	}
-	if len(matched.Targets) == 1 {
+	switch len(matched.Targets) {
+	case 0:
+		return nil
+	case 1:
 		return []string{matched.Targets[0].Service}
 	}
 	point := float64(r.splits.Add(1)) * goldenRatio
