--- a/internal/relay/allowance.go
+++ b/internal/relay/allowance.go
@@ -1,11 +1,6 @@
 package relay
 
-import (
-	"sync"
-	"time"
-
-	"github.com/bronzereach/bronzereach/pkg/route"
-)
+import "time"
 
 // allowancePeriod is the time after which a route's longest deadline is measured
 // anew: callers may begin to wait less.
@@ -33,41 +28,24 @@
 
 // allowances holds those of all routes.
 type allowances struct {
-	mu     sync.Mutex
-	routes map[string]*allowance
+	*perRoute[allowance]
+}
+
+func newAllowances() allowances {
+	return allowances{newPerRoute(func() *allowance { return &allowance{} })}
 }
 
 // spent returns how much of its objective the caller of a request has used. A
 // caller who seems to have used more than that may just wait less than others.
-func (l *allowances) spent(request *Request) time.Duration {
+func (l allowances) spent(request *Request) (used time.Duration) {
 	if request.Unbounded {
 		return 0
 	}
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	name := request.Route.Name
-	a := l.routes[name]
-	if a == nil {
-		if l.routes == nil {
-			l.routes = map[string]*allowance{}
-		}
-		a = &allowance{began: request.Received}
-		l.routes[name] = a
-	}
-	used := a.spent(request.Received, request.Deadline.Sub(request.Received))
+	l.use(request.Route.Name, func(a *allowance) {
+		used = a.spent(request.Received, request.Deadline.Sub(request.Received))
+	})
 	if used >= request.Route.Objective {
 		return 0
 	}
 	return used
 }
-
-// keep forgets the routes that a table does not have.
-func (l *allowances) keep(table *route.Table) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for name := range l.routes {
-		if !table.Has(name) {
-			delete(l.routes, name)
-		}
-	}
-}
--- a/internal/relay/allowance_test.go
+++ b/internal/relay/allowance_test.go
@@ -13,7 +13,7 @@
 func TestTimeSpentIsTold(t *testing.T) {
 	matched := route.Route{Name: "r", Objective: 100 * time.Millisecond}
 	now := time.Unix(100, 0)
-	var l allowances
+	l := newAllowances()
 	stated := func(deadline time.Duration) time.Duration {
 		now = now.Add(10 * time.Millisecond)
 		return l.spent(&Request{Received: now, Deadline: now.Add(deadline), Route: &matched})
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,7 +79,13 @@
 
 // New returns a relay that knows nothing yet.
 func New(config Config) *Relay {
-	r := &Relay{config: config, started: time.Now(), Metrics: newMetrics()}
+	r := &Relay{
+		config:     config,
+		started:    time.Now(),
+		Metrics:    newMetrics(),
+		delays:     newDelays(),
+		allowances: newAllowances(),
+	}
 	r.state.Store(&state{})
 	return r
 }
