peer: nothing is written to a stream after a failed reply

Cause: a handler goes on after a reply that could not be sent within the write timeout. Change: the first error of a call's replies is kept, and nothing is written after it.

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -162,10 +163,27 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go cancelOnStreamEnd(reader, cancel)
-	n.config.Handler.Handle(ctx, call, func(reply *wire.Reply) error {
-		reply.Clock = uint64(n.config.Clock.Now())
-		return wire.Write(stream, reply)
-	})
+	replies := &replyWriter{stream: stream, clock: n.config.Clock}
+	n.config.Handler.Handle(ctx, call, replies.write)
+}
+
+// replyWriter writes the replies of one call.
+type replyWriter struct {
+	stream io.Writer
+	clock  *timeline.Clock
+	// failed is the first error of a write. Nothing is written after it: the frame
+	// may still be queued, and the stream would take its late result for the result
+	// of the next write and overwrite a header that is being sent.
+	failed error
+}
+
+func (w *replyWriter) write(reply *wire.Reply) error {
+	if w.failed != nil {
+		return w.failed
+	}
+	reply.Clock = uint64(w.clock.Now())
+	w.failed = wire.Write(w.stream, reply)
+	return w.failed
 }
 
 // cancelOnStreamEnd cancels a call when the calling node closes its stream.
--- /dev/null
+++ b/internal/peer/network_test.go
@@ -0,0 +1,92 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/internal/timer"
+	"github.com/bronzereach/bronzereach/internal/wire"
+)
+
+// stallingListener accepts connections whose writes block while it is stalled.
+type stallingListener struct {
+	net.Listener
+	mu sync.RWMutex
+}
+
+func (l *stallingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return &stallingConn{Conn: conn, listener: l}, err
+}
+
+// stall blocks the writes of all connections; it returns the function that ends
+// this.
+func (l *stallingListener) stall() (resume func()) {
+	l.mu.Lock()
+	return l.mu.Unlock
+}
+
+type stallingConn struct {
+	net.Conn
+	listener *stallingListener
+}
+
+func (c *stallingConn) Write(b []byte) (int, error) {
+	c.listener.mu.RLock()
+	defer c.listener.mu.RUnlock()
+	return c.Conn.Write(b)
+}
+
+// stallingHandler sends three replies over a connection that blocks until the
+// first of them has failed, and records the errors.
+type stallingHandler struct {
+	listener *stallingListener
+	errors   chan error
+}
+
+func (h *stallingHandler) Handle(_ context.Context, _ *wire.Call, send func(*wire.Reply) error) {
+	resume := h.listener.stall()
+	h.errors <- send(&wire.Reply{})
+	resume()
+	h.errors <- send(&wire.Reply{})
+	h.errors <- send(&wire.Reply{})
+}
+
+// TestNothingIsSentAfterAFailedReply: once a reply could not be sent in time, the
+// later replies of the same call fail too. The stream would report the late result
+// of the first one for them and reuse a header that is still being sent.
+func TestNothingIsSentAfterAFailedReply(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stalling := &stallingListener{Listener: listener}
+	handler := &stallingHandler{listener: stalling, errors: make(chan error, 3)}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := NewNetwork(testConfig("vm-1", handler))
+	go func() { _ = server.Serve(ctx, stalling) }()
+	stream, err := NewNetwork(testConfig("vm-2", nil)).Call(ctx, "vm-1", listener.Addr().String(), &wire.Call{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer stream.Close()
+	for i := range 3 {
+		select {
+		case err := <-handler.errors:
+			if err == nil {
+				t.Errorf("reply %d counts as sent", i)
+			}
+		case <-time.After(4 * writeTimeout):
+			t.Fatalf("reply %d neither sent nor failed", i)
+		}
+	}
+}
+
+func testConfig(vm string, handler Handler) Config {
+	return Config{VM: vm, Incarnation: 1, Clock: &timeline.Clock{}, Timers: timer.NewService(), Handler: handler}
+}
