relay: answers allow for late wakeups; a late answer waits for its shards

Cause: an answer is due 10 ms before the objective, however late the node runs after its timers; on a full machine it reached the caller after the objective (TestSilentShardIsLeftOut, 202 to 240 ms of 200). Whether an answer is late was found out only by a call at the right moment, so a partial answer could go out at once after the objective where it should wait. Change: the delay of wakeups is estimated from those seen, and the answer is due that much sooner, bounded by a fraction of the objective; lateness follows from the time at which enough shards had replied.

TestLateAnswerWaitsThoughNothingHappened fails with the old rule.

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -70,7 +70,10 @@
 		f.shards[i] = shardState{service: s.services[name], name: name}
 	}
 	request.timeSpent = r.deadlineTrackers.timeSpent(request)
-	f.plan = newPlan(request, r.hedgeDelays.get(request.Route.Name))
+	f.plan = newPlan(request, delays{
+		usualReply: r.hedgeDelays.get(request.Route.Name),
+		wakeup:     r.wakeupDelay.estimate(),
+	})
 	return f
 }
 
@@ -90,11 +93,13 @@
 		if f.isComplete(now) {
 			return f.buildAnswer(now)
 		}
-		timer.Reset(f.plan.nextWakeup(now).Sub(now))
+		wakeup := f.plan.nextWakeup(now)
+		timer.Reset(wakeup.Sub(now))
 		select {
 		case e := <-f.events:
 			f.handleEvent(e)
 		case <-timer.C:
+			f.relay.wakeupDelay.record(time.Since(wakeup))
 			f.hedge(time.Now())
 		case <-ctx.Done():
 			return &Answer{Outcome: CallerDisconnected, Run: f.runStatus(), Attempts: f.attempts}
@@ -266,10 +271,14 @@
 func (f *forwarder) settle(s *shardState, reply *Reply, reason Reason) {
 	s.settled, s.reply, s.reason = true, reply, reason
 	f.pendingShards--
+	now := time.Now()
 	if reply != nil {
 		f.succeededShards++
+		if f.succeededShards == f.plan.requiredShards {
+			f.plan.recordEnough(now)
+		}
 	}
-	until := time.Now().Add(unneededAttemptTimeout)
+	until := now.Add(unneededAttemptTimeout)
 	for _, a := range s.running {
 		a.shortenDeadline(until)
 	}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -9,6 +9,9 @@
 	// objective.
 	minHedgeFraction = 0.08
 	maxHedgeFraction = 0.40
+	// maxWakeupFraction bounds the time reserved for late wakeups, as a fraction of
+	// the objective.
+	maxWakeupFraction = 0.15
 	// hedgeRounds is how many times a forwarder looks for stragglers. The wait is
 	// doubled for each further round.
 	hedgeRounds = 4
@@ -39,8 +42,8 @@
 	answerBy time.Time
 	// lateAnswerAt is the same for an answer that could not be sent at answerBy.
 	lateAnswerAt time.Time
-	// late is true once canAnswer has found, at answerBy plus answerMargin or
-	// later, that too few shards have succeeded.
+	// late is true if requiredShards were reached only at answerBy plus answerMargin
+	// or later, so that the answer misses the objective anyway.
 	late bool
 	// answerDeadline is when the request must be answered.
 	answerDeadline time.Time
@@ -50,9 +53,16 @@
 	sharded bool
 }
 
-// newPlan returns the plan of a request. usualDelay is the time after which a reply
-// counts as a straggler; 0 if that is not known.
-func newPlan(request *Request, usualDelay time.Duration) plan {
+// delays are the delays that a plan allows for; 0 where they are not known.
+type delays struct {
+	// usualReply is the time after which a reply counts as a straggler.
+	usualReply time.Duration
+	// wakeup is how late this node runs after the time it asked to be woken at.
+	wakeup time.Duration
+}
+
+// newPlan returns the plan of a request.
+func newPlan(request *Request, expected delays) plan {
 	matched := request.Route
 	objective := matched.TargetLatency
 	answerDeadline := request.answerDeadline()
@@ -63,13 +73,14 @@
 	earliest := time.Duration(minHedgeFraction * float64(objective))
 	latest := max(earliest, time.Duration(maxHedgeFraction*float64(objective-request.timeSpent)))
 	delay := latest
-	if usualDelay > 0 {
-		delay = min(max(usualDelay, earliest), latest)
+	if expected.usualReply > 0 {
+		delay = min(max(expected.usualReply, earliest), latest)
 	}
+	wakeup := min(expected.wakeup, time.Duration(maxWakeupFraction*float64(objective)))
 	p := plan{
 		hedgeAt:        request.Received.Add(delay),
 		hedgeDelay:     delay,
-		answerBy:       callerStart.Add(objective - callerRoundTrip - answerMargin),
+		answerBy:       callerStart.Add(objective - callerRoundTrip - answerMargin - wakeup),
 		lateAnswerAt:   callerStart.Add(time.Duration(lateAnswerFactor * float64(objective))),
 		answerDeadline: answerDeadline.Add(-callerRoundTrip - 2*answerMargin),
 		requiredShards: 1,
@@ -103,14 +114,18 @@
 	return now.Sub(started) >= p.hedgeDelay/2
 }
 
+// recordEnough records when requiredShards have succeeded.
+func (p *plan) recordEnough(now time.Time) {
+	p.late = !now.Before(p.answerBy.Add(answerMargin))
+}
+
 // canAnswer reports whether a merged answer with the given number of successful
 // shards, out of the total, is sent now. A complete answer is sent at once. A
 // partial answer with at least requiredShards is sent from answerBy on, as it is
-// better than a complete one that is late. But once late is true, a partial answer
-// waits for its missing shards until lateAnswerAt. canAnswer also updates late.
+// better than a complete one that is late. But one that is late already waits for
+// its missing shards until lateAnswerAt.
 func (p *plan) canAnswer(now time.Time, succeeded, total int) bool {
 	if !p.sharded || succeeded < p.requiredShards {
-		p.late = p.late || !now.Before(p.answerBy.Add(answerMargin))
 		return false
 	}
 	if succeeded == total || !now.Before(p.lateAnswerAt) {
--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -13,7 +14,7 @@
 func planOf(matched route.Route, usualDelay time.Duration) (plan, time.Time) {
 	start := time.Unix(100, 0)
 	request := &Request{Received: start, Deadline: start.Add(1500 * time.Millisecond), Route: &matched}
-	return newPlan(request, usualDelay), start
+	return newPlan(request, delays{usualReply: usualDelay}), start
 }
 
 // queryRoute returns a route over ten shards of which nine are required.
@@ -68,6 +69,7 @@
 	if late.canAnswer(late.answerBy.Add(answerMargin), 8, 10) {
 		t.Error("answered with fewer shards than the route requires")
 	}
+	late.recordEnough(late.answerBy.Add(answerMargin))
 	if late.canAnswer(late.answerBy.Add(2*answerMargin), 9, 10) {
 		t.Error("a late answer did not wait for its last shard")
 	}
@@ -76,6 +78,60 @@
 	}
 }
 
+// TestLateAnswerWaitsThoughNothingHappened: the reply that completes requiredShards
+// comes after the objective, and nothing was decided since long before it. The
+// answer is late all the same, so it waits for its last shard.
+func TestLateAnswerWaitsThoughNothingHappened(t *testing.T) {
+	p, start := planOf(queryRoute(), 0)
+	p.canAnswer(start, 8, 10)
+	afterObjective := start.Add(130 * time.Millisecond)
+	p.recordEnough(afterObjective)
+	if p.canAnswer(afterObjective, 9, 10) {
+		t.Error("a late answer went out without its last shard")
+	}
+}
+
+// TestAnswersInTimeOnASlowNode plays a node that runs 4 to 14 ms after each time it
+// asked to be woken at, and answers that lack a shard. Once it has seen some
+// delays, they are sent before the objective.
+func TestAnswersInTimeOnASlowNode(t *testing.T) {
+	var node wakeupDelay
+	random := rand.New(rand.NewPCG(1, 1))
+	late := 0
+	for i := range 200 {
+		matched := queryRoute()
+		start := time.Unix(100, 0)
+		request := &Request{Received: start, Deadline: start.Add(1500 * time.Millisecond), Route: &matched}
+		p := newPlan(request, delays{wakeup: node.estimate()})
+		delay := 4*time.Millisecond + time.Duration(random.Int64N(int64(10*time.Millisecond)))
+		node.record(delay)
+		sent := p.answerBy.Add(delay)
+		if i > 0 && sent.Add(callerRoundTrip).After(start.Add(matched.TargetLatency)) {
+			late++
+		}
+	}
+	if late > 10 {
+		t.Errorf("%d of 200 answers miss the objective", late)
+	}
+}
+
+// TestWakeupDelayIsBounded: whatever was recorded, an answer is not planned for more
+// than maxWakeupFraction of the objective sooner.
+func TestWakeupDelayIsBounded(t *testing.T) {
+	var node wakeupDelay
+	if got := node.estimate(); got != 0 {
+		t.Errorf("a new node expects a delay of %s", got)
+	}
+	node.record(5 * time.Second)
+	fresh, _ := planOf(queryRoute(), 0)
+	matched := queryRoute()
+	start := time.Unix(100, 0)
+	p := newPlan(&Request{Received: start, Deadline: start.Add(1500 * time.Millisecond), Route: &matched}, delays{wakeup: node.estimate()})
+	if got := fresh.answerBy.Sub(p.answerBy); got != 15*time.Millisecond {
+		t.Errorf("answer is due %s sooner, want 15ms of 100ms", got)
+	}
+}
+
 // TestPlanCountsTimeSpent: a caller that has spent part of the objective before the
 // request arrived gets its answer sooner, so that it still meets the objective.
 func TestPlanCountsTimeSpent(t *testing.T) {
@@ -84,7 +140,7 @@
 	matched := queryRoute()
 	start := time.Unix(100, 0)
 	request := &Request{Received: start, Deadline: start.Add(1500*time.Millisecond - timeSpent), Route: &matched, timeSpent: timeSpent}
-	p := newPlan(request, 0)
+	p := newPlan(request, delays{})
 	if got := fresh.answerBy.Sub(p.answerBy); got != timeSpent {
 		t.Errorf("answer is due %s sooner, want %s", got, timeSpent)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -66,6 +66,7 @@
 	splitCount       atomic.Uint64
 	hedgeDelays      hedgeDelays
 	deadlineTrackers deadlineTrackers
+	wakeupDelay      wakeupDelay
 	logLimiter       logRateLimiter
 }
 
