Leaving upstreams reach a large fleet in time; a node gossips with a bounded number of others

When 300 upstreams of an index leave at once, nodes that don't watch the store closely wait for the last notices longer than the 6 s of the bound.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -29,8 +29,6 @@
 	// immediateExchanges is the number of exchanges started at once when the node
 	// leaves or has a newly promoted document.
 	immediateExchanges = 6
-	// maxNoticesPerExchange limits the notices sent in one exchange.
-	maxNoticesPerExchange = 16
 )
 
 // runGossip starts an exchange with one member every gossipInterval.
@@ -66,7 +64,7 @@
 		Digest:        c.table.Digest(),
 		Members:       membersToWire(c.table.Updates()),
 		ConfigVersion: c.version.Load(),
-		Notices:       c.notices.NextBatch(maxNoticesPerExchange, len(c.lastContact)),
+		Notices:       c.notices.NextBatch(member.MaxNotices, c.table.Alive()),
 	}
 }
 
@@ -210,10 +208,12 @@
 // member: it is no longer advertised to callers and no longer a gate, but it
 // serves requests until it is told to end.
 func (c *control) broadcast(now time.Time, notice *wire.Notice) {
-	if !c.seenNotices.Add(notice.GetUpstream() + "\x00" + notice.GetIncarnation()) {
+	key := notice.GetUpstream() + "\x00" + notice.GetIncarnation()
+	if !c.seenNotices.Add(key) {
+		c.notices.MarkKnown(key)
 		return
 	}
-	c.notices.Put(notice.GetUpstream(), notice)
+	c.notices.Put(key, notice)
 	own := c.table.Self()
 	if notice.GetUpstream() == own.PeerAddress && notice.GetIncarnation() == strconv.FormatUint(own.Incarnation, 10) {
 		c.table.SetOwnState(now, member.Leaving)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -26,7 +26,7 @@
 	// livenessTimeout is how long a link with open calls may receive nothing before
 	// it is pinged, and how long the peer has to answer the ping.
 	livenessTimeout    = 400 * time.Millisecond
-	acceptBacklog      = 4096
+	acceptBacklog      = 256
 	streamWindowBytes  = 1 << 20
 	replyBufferBytes   = 4 << 10
 	streamCloseTimeout = 5 * time.Second
--- a/pkg/member/gossip.go
+++ b/pkg/member/gossip.go
@@ -9,6 +9,11 @@
 // the binary logarithm of the number of members.
 const sendFactor = 3
 
+// MaxNotices is the maximum number of notices in one exchange. With a lower one,
+// the notices of an index whose upstreams all leave at once reach the last nodes
+// of a large fleet too late.
+const MaxNotices = 256
+
 // GossipQueue holds items to pass on to other members by gossip. Each item is
 // sent a bounded number of times, the least sent items first.
 type GossipQueue[K comparable, V any] struct {
@@ -36,8 +41,16 @@
 	q.items[key] = &gossipItem[V]{value: value}
 }
 
-// NextBatch returns up to limit items to send now, given the number of members,
-// and drops the items that have been sent often enough.
+// MarkKnown counts an item as sent once more, because another member that knows it
+// has just sent it.
+func (q *GossipQueue[K, V]) MarkKnown(key K) {
+	if item, found := q.items[key]; found {
+		item.sent++
+	}
+}
+
+// NextBatch returns up to limit items to send now, the least sent ones first, given
+// the number of members, and drops the items that have been sent often enough.
 func (q *GossipQueue[K, V]) NextBatch(limit, members int) []V {
 	if len(q.order) == 0 {
 		return nil
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -72,6 +72,10 @@
 	suspects map[string]suspicion
 	// nextCleanup is the time of the next removal of expired dead members.
 	nextCleanup time.Time
+	// neighbors holds the VMs of the members that this node exchanges with, by
+	// distance, as of neighborsGeneration.
+	neighbors           [distances][]string
+	neighborsGeneration uint64
 }
 
 // NewTable returns a table that holds only the node itself.
@@ -339,30 +343,27 @@
 	return t.updates.NextBatch(maximumUpdates, len(t.entries))
 }
 
-// GossipPartner chooses the member for the next exchange: mostly one in the
-// node's own availability zone, otherwise mostly one in its region, and sometimes
-// any member or a dead one. ok is false if there is none.
+// GossipPartner chooses the member for the next exchange: one of the node's
+// neighbors, mostly in its own availability zone, otherwise mostly in its region,
+// and sometimes a dead member. ok is false if there is none.
 func (t *Table) GossipPartner(random *rand.Rand) (partner Member, ok bool) {
-	own := t.Self()
-	dead := random.Float64() < deadProbability
-	zone := random.Float64() < ownZoneProbability
-	region := random.Float64() < ownRegionProbability
-	accept := func(m Member) bool {
-		switch {
-		case (m.State == Dead) != dead:
-			return false
-		case zone:
-			return m.AvailabilityZone == own.AvailabilityZone
-		case region:
-			return m.Region == own.Region
-		default:
-			return true
+	if random.Float64() < deadProbability {
+		if partner, ok = t.choose(random, func(m Member) bool { return m.State == Dead }); ok {
+			return partner, true
 		}
 	}
-	if partner, ok = t.choose(random, accept); ok {
+	t.updateNeighbors()
+	distance := otherRegion
+	switch {
+	case random.Float64() < ownZoneProbability:
+		distance = sameZone
+	case random.Float64() < ownRegionProbability:
+		distance = sameRegion
+	}
+	if partner, ok = t.chooseNeighbor(random, t.neighbors[distance]); ok {
 		return partner, true
 	}
-	return t.choose(random, func(m Member) bool { return m.State != Dead })
+	return t.chooseNeighbor(random, slices.Concat(t.neighbors[:]...))
 }
 
 // choose returns the first accepted member from a random position in order on,
