Requests stay in their availability zone; callers are sent to nodes near the upstreams

Change: leaving the zone costs as much as 1.5 median latencies; nodes in zones that hold upstreams of the shards serve callers alone while there are enough of them (pkg/member, selectNear).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -79,6 +79,10 @@
 	services map[string]*service
 	// upstreamsKnown is true once SetUpstreams has been called.
 	upstreamsKnown bool
+	// registrations holds the registrations of all upstreams, and upstreamZones the
+	// availability zones that hold upstreams of the shards.
+	registrations []upstream.Registration
+	upstreamZones []string
 }
 
 // New returns a relay without a routing table and upstreams.
@@ -105,6 +109,7 @@
 	}
 	next := *old
 	next.table = table
+	next.upstreamZones = upstream.Zones(next.registrations, table.Shards())
 	r.routingState.Store(&next)
 	r.updateConnectionLimits(&next)
 	r.hedgeDelays.retain(table)
@@ -116,7 +121,13 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.routingState.Load()
-	next := routingState{table: old.table, upstreamsKnown: true, services: make(map[string]*service, len(old.services))}
+	next := routingState{
+		table:          old.table,
+		upstreamsKnown: true,
+		services:       make(map[string]*service, len(old.services)),
+		registrations:  registrations,
+		upstreamZones:  upstream.Zones(registrations, old.table.Shards()),
+	}
 	byService := map[string][]upstream.Registration{}
 	for _, registration := range registrations {
 		byService[registration.Service] = append(byService[registration.Service], registration)
@@ -199,6 +210,12 @@
 	return r.routingState.Load().table
 }
 
+// UpstreamZones returns the availability zones that hold upstreams of many shards;
+// the slice must not be changed.
+func (r *Relay) UpstreamZones() []string {
+	return r.routingState.Load().upstreamZones
+}
+
 // InProgress returns the number of requests that are not answered yet.
 func (r *Relay) InProgress() int64 {
 	return r.inProgress.Load()
--- a/pkg/member/serving.go
+++ b/pkg/member/serving.go
@@ -20,17 +20,55 @@
 	// strongCapacityFraction is the minimum capacity of a strong member, as a
 	// fraction of the highest capacity.
 	strongCapacityFraction = 0.5
+	// minimumNear is the minimum number of members in zones with upstreams that
+	// serve without the others, and nearCapacityFraction the minimum fraction of the
+	// capacity that they must hold.
+	minimumNear          = 4
+	nearCapacityFraction = 0.4
 )
 
-// Serving returns the ready members that callers should use, at most limit. In
-// a large cluster these are the members with the highest capacity, taken from
-// the availability zones in turn, so that callers don't use the weak nodes of a
-// cluster whose nodes differ in capacity. Nodes with equal tables choose the same
-// members, and a change of one member changes few of them.
-func Serving(members []Member, limit int) []Member {
-	order := interleaveZones(selectStrong(members))
+// ServingConfig holds the parameters of Serving.
+type ServingConfig struct {
+	// Limit is the maximum number of serving members.
+	Limit int
+	// UpstreamZones are the availability zones that hold upstreams; empty if they
+	// are not known.
+	UpstreamZones []string
+}
+
+// Serving returns the ready members that callers should use. In a large cluster
+// these are the members with the highest capacity, taken from the availability
+// zones in turn, so that callers don't use the weak nodes of a cluster whose nodes
+// differ in capacity. Nodes with equal tables choose the same members, and a change
+// of one member changes few of them.
+func Serving(members []Member, config ServingConfig) []Member {
+	order := interleaveZones(selectNear(selectStrong(members), config.UpstreamZones))
 	count := max(minimumServing, int(servingFraction*float64(len(order))))
-	return order[:min(count, limit, len(order))]
+	return order[:min(count, config.Limit, len(order))]
+}
+
+// selectNear returns the ready members in the given availability zones if they are
+// enough to serve alone; otherwise it returns all members. A query costs its caller
+// one crossing of zones at most, but a node in a zone without upstreams one for each
+// shard.
+func selectNear(members []Member, zones []string) []Member {
+	var near []Member
+	nearTotal, total := 0.0, 0.0
+	for _, m := range members {
+		if m.State != Ready {
+			continue
+		}
+		weight := max(1, float64(m.Capacity))
+		total += weight
+		if slices.Contains(zones, m.AvailabilityZone) {
+			near = append(near, m)
+			nearTotal += weight
+		}
+	}
+	if len(near) < minimumNear || nearTotal < nearCapacityFraction*total {
+		return members
+	}
+	return near
 }
 
 // selectStrong returns the strong ready members if there are at least
--- a/pkg/member/serving_test.go
+++ b/pkg/member/serving_test.go
@@ -18,15 +18,15 @@
 // large one, and that the loss of a serving member adds one other and keeps the
 // rest.
 func TestServing(t *testing.T) {
-	if got := len(Serving(readyMembers(9), 64)); got != 9 {
+	if got := len(Serving(readyMembers(9), ServingConfig{Limit: 64})); got != 9 {
 		t.Errorf("%d of 9 serve", got)
 	}
 	members := readyMembers(64)
-	before := Serving(members, 64)
+	before := Serving(members, ServingConfig{Limit: 64})
 	if len(before) < 9 || len(before) > 32 {
 		t.Errorf("%d of 64 serve", len(before))
 	}
-	if got := len(Serving(readyMembers(2900), 64)); got != 64 {
+	if got := len(Serving(readyMembers(2900), ServingConfig{Limit: 64})); got != 64 {
 		t.Errorf("%d of 2900 serve", got)
 	}
 	suspected := before[3].VM
@@ -36,7 +36,7 @@
 		}
 	}
 	kept := map[string]bool{}
-	for _, m := range Serving(members, 64) {
+	for _, m := range Serving(members, ServingConfig{Limit: 64}) {
 		kept[m.VM] = true
 	}
 	for _, m := range before {
@@ -61,7 +61,7 @@
 		}
 	}
 	zones := map[string]int{}
-	for _, m := range Serving(members, 64) {
+	for _, m := range Serving(members, ServingConfig{Limit: 64}) {
 		if m.Capacity != 800 {
 			t.Errorf("%s serves with capacity %d", m.VM, m.Capacity)
 		}
@@ -84,13 +84,13 @@
 			members[i].Capacity = 800
 		}
 	}
-	if got := Serving(members, 64); len(got) != 8 || got[7].Capacity != 800 {
+	if got := Serving(members, ServingConfig{Limit: 64}); len(got) != 8 || got[7].Capacity != 800 {
 		t.Errorf("%d serve, the last with capacity %d", len(got), got[len(got)-1].Capacity)
 	}
 	for i := range 4 {
 		members[i].State = Dead
 	}
-	got := Serving(members, 64)
+	got := Serving(members, ServingConfig{Limit: 64})
 	if len(got) < minimumServing || got[0].Capacity != 800 {
 		t.Errorf("%d serve after a loss, the first with capacity %d", len(got), got[0].Capacity)
 	}
@@ -100,7 +100,47 @@
 			members[i].Capacity = 400
 		}
 	}
-	if got := Serving(members, 64); len(got) != 12 {
+	if got := Serving(members, ServingConfig{Limit: 64}); len(got) != 12 {
 		t.Errorf("%d serve where the strong ones hold a sixth of the capacity", len(got))
 	}
 }
+
+// TestNodesNearUpstreamsServe plays a query over 36 shards with replicas in three of
+// four availability zones: no node that serves callers sends all its requests across
+// zones, as long as the nodes near the replicas are enough.
+func TestNodesNearUpstreamsServe(t *testing.T) {
+	zones := []string{"zone-0", "zone-1", "zone-2"}
+	members := readyMembers(64)
+	for i := range members {
+		members[i].AvailabilityZone = fmt.Sprint("zone-", i%4)
+		members[i].Capacity = 192
+		if i < 8 {
+			members[i].Capacity = 800
+		}
+	}
+	config := ServingConfig{Limit: 64, UpstreamZones: zones}
+	got := Serving(members, config)
+	if len(got) != 6 {
+		t.Errorf("%d serve, want the six strong ones near the replicas", len(got))
+	}
+	for _, m := range got {
+		if m.AvailabilityZone == "zone-3" || m.Capacity != 800 {
+			t.Errorf("%s in %s serves with capacity %d", m.VM, m.AvailabilityZone, m.Capacity)
+		}
+	}
+	for i := range members {
+		if members[i].AvailabilityZone != "zone-3" && i < 8 && i != 0 {
+			members[i].State = Dead
+		}
+	}
+	served := map[string]bool{}
+	for _, m := range Serving(members, config) {
+		served[m.AvailabilityZone] = true
+	}
+	if !served["zone-0"] || !served["zone-1"] {
+		t.Errorf("after the loss of the strong ones near the replicas, zones %v serve", served)
+	}
+	if got := Serving(members[3:4], config); len(got) != 1 {
+		t.Errorf("%d serve where no node is near a replica, want the only one", len(got))
+	}
+}
--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -13,6 +13,10 @@
 const (
 	// remoteCost is the assumed round-trip time to another availability zone.
 	remoteCost = time.Millisecond
+	// crossingCost is the cost of leaving the availability zone, in multiples of the
+	// median latency. The bytes that cross are paid for, so a request crosses only
+	// if replicas in the zone are much slower or busier.
+	crossingCost = 1.5
 	// coldFactor multiplies the expected time of a replica that started recently.
 	coldFactor = 1.6
 	// riskWeight is the weight of the newest attempt in the moving average of
@@ -180,7 +184,7 @@
 	}
 	cost += replica.decayedRisk(now) * riskCost * g.median
 	if replica.Registration.AvailabilityZone != g.zone {
-		cost += remoteCost.Seconds()
+		cost += max(remoteCost.Seconds(), crossingCost*g.median)
 	}
 	return cost
 }
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -123,9 +123,10 @@
 	services map[string]Service
 	// hosts holds the routes by lower-case host and then by prefix.
 	hosts map[string]map[string]*Route
-	// usedServices holds the services that routes use, and routeNames the names
-	// of the routes. Both are sorted.
+	// usedServices holds the services that routes use, shards those that are shards
+	// of a route, and routeNames the names of the routes. All are sorted.
 	usedServices []string
+	shards       []string
 	routeNames   []string
 }
 
@@ -148,11 +149,14 @@
 		}
 		t.hosts[host][r.Prefix] = r
 		t.usedServices = append(t.usedServices, r.Services()...)
+		t.shards = append(t.shards, r.Shards...)
 		t.routeNames = append(t.routeNames, r.Name)
 	}
 	slices.Sort(t.routeNames)
 	slices.Sort(t.usedServices)
 	t.usedServices = slices.Compact(t.usedServices)
+	slices.Sort(t.shards)
+	t.shards = slices.Compact(t.shards)
 	return t
 }
 
@@ -190,6 +194,15 @@
 	return t.usedServices
 }
 
+// Shards returns the sorted names of the services that are shards of a route; none
+// for a nil table.
+func (t *Table) Shards() []string {
+	if t == nil {
+		return nil
+	}
+	return t.shards
+}
+
 // UsesService reports whether a route uses the service.
 func (t *Table) UsesService(service string) bool {
 	_, found := slices.BinarySearch(t.Services(), service)
