replica: the first latency of a replica counts as a change from the usual one

Cause: the first reply of a replica was its whole estimate. A replica that pauses at its first request seems eight times slower than the others, is then hardly used, and its estimate falls with a time constant of 15 s. Change: an unknown replica starts at the median of the others.

--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -264,11 +264,11 @@
 	case Succeeded:
 		state.failures, state.sheds = 0, 0
 		replica.shedUntil = time.Time{}
-		state.recordLatency(took)
+		state.recordLatency(took, g.median)
 		state.limit = min(float64(g.connections), state.limit+limitIncrease*float64(g.connections))
 	case Abandoned:
 		if took.Seconds() > state.latency {
-			state.recordLatency(abandonedFactor * took)
+			state.recordLatency(abandonedFactor*took, g.median)
 		}
 	case Refused:
 		if now.Sub(state.lastShed) >= shedInterval {
--- a/pkg/replica/group_test.go
+++ b/pkg/replica/group_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -148,3 +149,78 @@
 		t.Error("no replica was chosen although the attempt had finished")
 	}
 }
+
+// zoneLoad plays requests of one node to replicas in three availability zones, which
+// pause by turns as real upstreams do. It returns the shares of requests that left
+// the zone and that took longer than the given time.
+func zoneLoad(perSecond float64, service, slow time.Duration) (crossed, late float64) {
+	const duration, pause, pauseEvery = 60 * time.Second, 150 * time.Millisecond, 3600 * time.Millisecond
+	g := NewGroup(GroupConfig[int]{Service: "s", AvailabilityZone: "a", NewData: func(upstream.Registration) int { return 0 }})
+	random := rand.New(rand.NewPCG(1, 2))
+	start := time.Unix(100, 0)
+	var registrations []upstream.Registration
+	offsets := map[string]time.Duration{"a": 0, "b": 1200 * time.Millisecond, "c": 2400 * time.Millisecond}
+	for _, zone := range []string{"a", "b", "c"} {
+		registrations = append(registrations, upstream.Registration{ID: zone, Address: zone, AvailabilityZone: zone, Slots: 4})
+	}
+	g.Sync(start, registrations)
+	g.SetLimits(8, 2)
+	type attempt struct {
+		replica      *Replica[int]
+		started, end time.Time
+	}
+	var running []attempt
+	total, left, slowOnes := 0, 0, 0
+	for now := start; now.Before(start.Add(duration)); now = now.Add(time.Duration(random.ExpFloat64() / perSecond * float64(time.Second))) {
+		slices.SortFunc(running, func(x, y attempt) int { return x.end.Compare(y.end) })
+		for len(running) > 0 && running[0].end.Before(now) {
+			done := running[0]
+			running = running[1:]
+			g.Finish(done.replica, done.end, Succeeded, done.end.Sub(done.started))
+		}
+		chosen := g.Choose(now, nil, random)
+		if chosen == nil {
+			continue
+		}
+		g.Start(chosen, now)
+		zone := chosen.Registration.AvailabilityZone
+		end := now.Add(time.Duration((0.7 + 0.6*random.Float64()) * float64(service)))
+		if phase := (now.Sub(start) + offsets[zone]) % pauseEvery; phase < pause {
+			end = end.Add(pause - phase)
+		}
+		running = append(running, attempt{replica: chosen, started: now, end: end})
+		total++
+		if zone != "a" {
+			left++
+		}
+		if end.Sub(now) > slow {
+			slowOnes++
+		}
+	}
+	return float64(left) / float64(total), float64(slowOnes) / float64(total)
+}
+
+// TestRequestsStayInTheZone plays the load of a site whose links between zones are
+// dear: 18 requests a second for each shard and node. Few of them leave the zone,
+// and pauses of the near replica delay few more than they must: a request in 24
+// meets one.
+func TestRequestsStayInTheZone(t *testing.T) {
+	crossed, late := zoneLoad(18, 15*time.Millisecond, 60*time.Millisecond)
+	t.Logf("%.3f left the zone, %.3f were late", crossed, late)
+	if crossed > 0.15 {
+		t.Errorf("%.3f of the requests left the zone", crossed)
+	}
+	if late > 0.05 {
+		t.Errorf("%.3f of the requests were late", late)
+	}
+}
+
+// TestBusyZoneIsLeft: with more requests than the near replica can take, most of them
+// go to the other zones.
+func TestBusyZoneIsLeft(t *testing.T) {
+	crossed, late := zoneLoad(400, 15*time.Millisecond, 60*time.Millisecond)
+	t.Logf("%.3f left the zone, %.3f were late", crossed, late)
+	if crossed < 0.5 {
+		t.Errorf("%.3f of the requests left the zone although the near replica is full", crossed)
+	}
+}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -223,12 +223,12 @@
 	switch outcome {
 	case Succeeded:
 		state.failures, state.sheds = 0, 0
-		state.recordLatency(took)
+		state.recordLatency(took, 0)
 		state.limit = min(float64(s.slots), state.limit+limitIncrease*float64(s.slots))
 	case Abandoned:
 		// The attempt would have taken longer, but it is unknown how much.
 		if took.Seconds() > state.latency {
-			state.recordLatency(abandonedFactor * took)
+			state.recordLatency(abandonedFactor*took, 0)
 		}
 	case Refused:
 		state.recordShed(now)
@@ -239,9 +239,14 @@
 	state.updateExpected(s.median, now)
 }
 
-// recordLatency adds a duration to the moving averages.
-func (u *state) recordLatency(took time.Duration) {
+// recordLatency adds a duration to the moving averages. The first one of an upstream
+// counts as a change from usual, the latency of the others, if that is known: it may
+// have met a pause, and an upstream that seems slow is hardly measured again.
+func (u *state) recordLatency(took time.Duration, usual float64) {
 	seconds := took.Seconds()
+	if u.latency == 0 && usual > 0 {
+		u.latency, u.slotTime = usual, usual
+	}
 	if u.latency == 0 {
 		u.latency, u.slotTime = seconds, seconds
 		return
