--- a/pkg/member/serving.go
+++ b/pkg/member/serving.go
@@ -47,6 +47,26 @@
 	return order[:min(count, config.Limit, len(order))]
 }
 
+// minimumZoneServing is the minimum number of serving members in a caller's
+// availability zone for it to be sent to these only: if one of them is lost, the
+// caller needs another to turn to.
+const minimumZoneServing = 2
+
+// ServingZone returns the serving members for callers in an availability zone: those
+// in the same zone if there are enough of them, otherwise all.
+func ServingZone(serving []Member, zone string) []Member {
+	var local []Member
+	for _, m := range serving {
+		if m.AvailabilityZone == zone {
+			local = append(local, m)
+		}
+	}
+	if len(local) < minimumZoneServing {
+		return serving
+	}
+	return local
+}
+
 // selectNear returns the ready members in the given availability zones if they are
 // enough to serve alone; otherwise it returns all members. A query costs its caller
 // one crossing of zones at most, but a node in a zone without upstreams one for each
--- a/pkg/member/serving_test.go
+++ b/pkg/member/serving_test.go
@@ -144,3 +144,22 @@
 		t.Errorf("%d serve where no node is near a replica, want the only one", len(got))
 	}
 }
+
+// TestCallersStayInTheirZone: callers are sent to the serving nodes of their zone,
+// unless the loss of one of them would leave a caller without any other.
+func TestCallersStayInTheirZone(t *testing.T) {
+	serving := readyMembers(5)
+	for i := range serving {
+		serving[i].AvailabilityZone = fmt.Sprint("zone-", i/2)
+	}
+	for _, m := range ServingZone(serving, "zone-1") {
+		if m.AvailabilityZone != "zone-1" {
+			t.Errorf("callers in zone-1 are sent to %s", m.AvailabilityZone)
+		}
+	}
+	for _, zone := range []string{"zone-2", "zone-3", ""} {
+		if got := len(ServingZone(serving, zone)); got != 5 {
+			t.Errorf("callers in %q get %d nodes, want all 5", zone, got)
+		}
+	}
+}
--- a/pkg/replica/group_test.go
+++ b/pkg/replica/group_test.go
@@ -184,7 +184,9 @@
 		}
 		g.Start(chosen, now)
 		zone := chosen.Registration.AvailabilityZone
-		end := now.Add(time.Duration((0.7 + 0.6*random.Float64()) * float64(service)))
+		// Another node puts the same load on the replicas of the zone.
+		queued := max(1, 2*float64(chosen.state.inFlight)/float64(chosen.Registration.Slots))
+		end := now.Add(time.Duration((0.7 + 0.6*random.Float64()) * queued * float64(service)))
 		if phase := (now.Sub(start) + offsets[zone]) % pauseEvery; phase < pause {
 			end = end.Add(pause - phase)
 		}
