--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -17,10 +17,6 @@
 	"github.com/bronzereach/bronzereach/platform"
 )
 
-// gcPercent is the growth of the heap, in percent of the live heap, that starts a
-// garbage collection.
-const gcPercent = 400
-
 // logCloseTimeout bounds the wait for a slow reader of the log when the node ends.
 const logCloseTimeout = 200 * time.Millisecond
 
@@ -51,9 +47,6 @@
 		}
 		defer stop()
 	}
-	// A node has a small live heap and allocates much, so that the default would
-	// collect garbage too often.
-	debug.SetGCPercent(gcPercent)
 	if options.Foreign != nil && options.Foreign.MemoryBytes > 0 {
 		debug.SetMemoryLimit(options.Foreign.MemoryBytes * heapLimitPercent / 100)
 	}
