Replies without end are given up: bounds on head and body

An upstream in trouble may send bytes that are no answer until its caller closes. The body of a reply was bounded at 4 MiB, its head and interim replies not at all.

--- a/internal/relay/connection.go
+++ b/internal/relay/connection.go
@@ -40,7 +40,7 @@
 type connection struct {
 	net    net.Conn
 	raw    syscall.RawConn
-	reader *bufio.Reader
+	reader *ReplyReader
 	writer *bufio.Writer
 	// idleUntil is the time from which the upstream may close the idle
 	// connection.
@@ -133,7 +133,7 @@
 	}
 	c := &connection{
 		net:    socket,
-		reader: bufio.NewReaderSize(socket, bufferLength),
+		reader: NewReplyReader(socket),
 		writer: bufio.NewWriterSize(socket, bufferLength),
 	}
 	if syscallConn, ok := socket.(syscall.Conn); ok {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -100,8 +100,8 @@
 	// WriteRequest writes an attempt. The upstream may work on it for timeLeft.
 	WriteRequest(w *bufio.Writer, prepared PreparedRequest, to upstream.Registration, timeLeft time.Duration) error
 	// ReadReply reads a reply to the request. It returns an error if the reply is
-	// incomplete.
-	ReadReply(r *bufio.Reader, request *Request) (*Reply, error)
+	// incomplete or too long.
+	ReadReply(r *ReplyReader, request *Request) (*Reply, error)
 }
 
 // Outcome is how a request ended.
