A left upstream stays unused after a restart and in a long outage

Change: an outage counts neither for reports nor for missing registrations, which a second outage made count as gone.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
+	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -36,9 +37,9 @@
 	// MarkUpstreamLeaving handles a notice, from this or another node, that an
 	// upstream is leaving. It is called from one goroutine.
 	MarkUpstreamLeaving(upstream, incarnation string)
-	// Registrations returns the upstreams as of a revision of the store, to send
-	// to another node. The revision is 0 while this node has not read the store.
-	Registrations() (revision uint64, registrations []upstream.Registration)
+	// Upstreams returns what this node knows of the upstreams, to send it to another
+	// node. The revision is 0 while this node has not read the store.
+	Upstreams() upstream.Snapshot
 	// Leave makes answers tell callers to connect to another node.
 	Leave()
 	// InProgress returns the number of requests that are not answered yet.
@@ -59,7 +60,7 @@
 	AnnounceLeaving(upstream, incarnation string)
 	// RequestUpstreams asks a peer for its upstreams if it has a revision of the
 	// store later than known; it returns none otherwise.
-	RequestUpstreams(ctx context.Context, known uint64) (revision uint64, registrations []upstream.Registration, err error)
+	RequestUpstreams(ctx context.Context, known uint64) (upstream.Snapshot, error)
 	// WatchesStoreClosely reports whether this node is one of those that must read
 	// current data from the store. The others may read stale data, which costs the
 	// store less, and get urgent news from their peers.
@@ -133,20 +134,20 @@
 
 // RequestUpstreams asks a peer for its upstreams. It picks a watcher or any ready
 // peer at random, because the watchers themselves may be cut off.
-func (n *Node) RequestUpstreams(ctx context.Context, known uint64) (revision uint64, registrations []upstream.Registration, err error) {
+func (n *Node) RequestUpstreams(ctx context.Context, known uint64) (upstreams upstream.Snapshot, err error) {
 	defer util.Annotate(&err, "ask a peer for upstreams")
 	peer, found := n.randomReadyPeer()
 	if !found {
-		return 0, nil, ErrNoPeer
+		return upstreams, ErrNoPeer
 	}
 	ctx, cancel := context.WithTimeout(ctx, requestUpstreamsTimeout)
 	defer cancel()
 	call := &wire.Call{Body: &wire.Call_FetchUpstreams{FetchUpstreams: &wire.FetchUpstreams{KnownRevision: known}}}
 	answer, err := n.network.CallUnary(ctx, peer.VM, peer.PeerAddress, call)
 	if err != nil {
-		return 0, nil, err
+		return upstreams, err
 	}
-	return answer.GetUpstreams().GetRevision(), registrationsFromWire(answer.GetUpstreams().GetRegistrations()), nil
+	return snapshotFromWire(answer.GetUpstreams())
 }
 
 // randomReadyPeer returns a random other member that is ready; half of the time
@@ -170,14 +171,33 @@
 func (n *Node) handleFetchUpstreams(fetch *wire.FetchUpstreams, send func(*wire.Reply) error) {
 	upstreams := &wire.Upstreams{}
 	if n.adapter != nil {
-		revision, registrations := n.adapter.Registrations()
-		if revision > fetch.GetKnownRevision() {
-			upstreams = &wire.Upstreams{Revision: revision, Registrations: registrationsToWire(registrations)}
+		if known := n.adapter.Upstreams(); known.Revision > fetch.GetKnownRevision() {
+			upstreams = snapshotToWire(known)
 		}
 	}
 	reply(send, &wire.Reply{Body: &wire.Reply_Upstreams{Upstreams: upstreams}})
 }
 
+func snapshotToWire(snapshot upstream.Snapshot) *wire.Upstreams {
+	notices := make([]*wire.Notice, len(snapshot.Reports))
+	for i, report := range snapshot.Reports {
+		notices[i] = &wire.Notice{Upstream: report.ID, Incarnation: strconv.FormatUint(report.Revision, 10)}
+	}
+	return &wire.Upstreams{Revision: snapshot.Revision, Registrations: registrationsToWire(snapshot.Registrations), Notices: notices}
+}
+
+func snapshotFromWire(upstreams *wire.Upstreams) (snapshot upstream.Snapshot, err error) {
+	snapshot = upstream.Snapshot{Revision: upstreams.GetRevision(), Registrations: registrationsFromWire(upstreams.GetRegistrations())}
+	for _, notice := range upstreams.GetNotices() {
+		revision, err := strconv.ParseUint(notice.GetIncarnation(), 10, 64)
+		if err != nil {
+			return upstream.Snapshot{}, errors.WithMessagef(err, "notice of upstream %q", notice.GetUpstream())
+		}
+		snapshot.Reports = append(snapshot.Reports, upstream.LeaveReport{ID: notice.GetUpstream(), Revision: revision})
+	}
+	return snapshot, nil
+}
+
 func registrationsToWire(registrations []upstream.Registration) []*wire.Registration {
 	converted := make([]*wire.Registration, len(registrations))
 	for i, r := range registrations {
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -76,7 +76,8 @@
 
 // peerReportLifetime is how long a peer's report that an upstream is leaving
 // applies without confirmation by the store. It is longer than the lag of a
-// stale read of the store.
+// stale read of the store, and starts again with the end of an outage: a node that
+// can't read the store gets no confirmation.
 const peerReportLifetime = 12 * time.Second
 
 // PeerReportedLeaving records a peer's report that an upstream is leaving as of
@@ -144,18 +145,18 @@
 	return gone
 }
 
-// Expire removes the registrations that have been missing for reregistrationTime
-// and the peers' reports that have expired. It returns the IDs of the removed
+// Expire removes the registrations that have been missing for reregistrationTime,
+// all of it without an outage, and the peers' reports that have expired. It returns the IDs of the removed
 // registrations and whether anything changed.
 func (r *Registry) Expire(now time.Time) (gone []string, changed bool) {
 	for id, lr := range r.reported {
-		if !now.Before(lr.until) {
+		if r.failingSince.IsZero() && !now.Before(lr.until) && now.Sub(r.outageEnd) >= peerReportLifetime {
 			delete(r.reported, id)
 			changed = true
 		}
 	}
 	for id, since := range r.missing {
-		if now.Sub(since) < reregistrationTime {
+		if !r.failingSince.IsZero() || now.Sub(since) < reregistrationTime || r.recentOutage(now) {
 			continue
 		}
 		gone = append(gone, id)
@@ -164,11 +165,15 @@
 	return gone, changed || len(gone) > 0
 }
 
-// FromStore returns the registrations as the store has them, without reports
-// of peers, to pass them on to other nodes. They are sorted and selected as by
-// All.
-func (r *Registry) FromStore() []Registration {
-	return r.list(func(Registration) bool { return false })
+// Snapshot returns the registrations as the store has them as of a revision, sorted
+// and selected as by All, and apart from them the reports of peers, to pass both on
+// to other nodes.
+func (r *Registry) Snapshot(revision uint64) Snapshot {
+	snapshot := Snapshot{Revision: revision, Registrations: r.list(func(Registration) bool { return false })}
+	for id, report := range r.reported {
+		snapshot.Reports = append(snapshot.Reports, LeaveReport{ID: id, Revision: report.revision})
+	}
+	return snapshot
 }
 
 // All returns the registrations, sorted by ID and with the peers' reports
--- a/pkg/upstream/registry_test.go
+++ b/pkg/upstream/registry_test.go
@@ -114,7 +114,7 @@
 	if !r.PeerReportedLeaving(now, "a", 7) || !r.All()[0].Leaving {
 		t.Fatal("the peer's report is ignored")
 	}
-	if r.FromStore()[0].Leaving {
+	if r.Snapshot(1).Registrations[0].Leaving {
 		t.Error("a peer's report is passed on as the store's state")
 	}
 	a.Revision = 9
@@ -144,3 +144,52 @@
 		t.Error("the new process counts as leaving")
 	}
 }
+
+// TestReportsOutliveAnOutage: a node that can't read the store gets no confirmation
+// that an upstream has left. The report of its peers applies until some time after
+// the outage.
+func TestReportsOutliveAnOutage(t *testing.T) {
+	r := NewRegistry()
+	now := time.Unix(1000, 0)
+	r.Put(Registration{ID: "a", Address: "a", Revision: 5})
+	r.PeerReportedLeaving(now, "a", 6)
+	r.StoreFailed(now)
+	end := now.Add(10 * time.Minute)
+	r.Expire(end)
+	if !r.All()[0].Leaving {
+		t.Error("an upstream that left is in use again during the outage")
+	}
+	r.StoreAnswered(end)
+	r.Expire(end.Add(time.Second))
+	if !r.All()[0].Leaving {
+		t.Error("an upstream that left is in use again just after the outage")
+	}
+	r.Expire(end.Add(peerReportLifetime))
+	if r.All()[0].Leaving {
+		t.Error("a report without confirmation still applies")
+	}
+}
+
+// TestSecondOutage: a registration that lapsed in an outage is not taken as gone in a
+// second one, in which its upstream can't register again either.
+func TestSecondOutage(t *testing.T) {
+	r := NewRegistry()
+	now := time.Unix(1000, 0)
+	r.Put(Registration{ID: "a", Address: "a", Revision: 5})
+	r.StoreFailed(now)
+	now = now.Add(2 * time.Second)
+	r.StoreAnswered(now)
+	r.Remove(now, "a", false)
+	r.StoreFailed(now.Add(time.Second))
+	if gone, _ := r.Expire(now.Add(5 * time.Second)); len(gone) != 0 {
+		t.Error("taken as gone during the second outage")
+	}
+	now = now.Add(6 * time.Second)
+	r.StoreAnswered(now)
+	if gone, _ := r.Expire(now.Add(time.Second)); len(gone) != 0 {
+		t.Error("taken as gone just after the second outage")
+	}
+	if gone, _ := r.Expire(now.Add(reregistrationTime)); len(gone) != 1 {
+		t.Error("kept although its upstream had the time to register again")
+	}
+}
