Requests not forwarded to oneself; acquisitions that were broken off stay so

It answers unknown at once (TestNoForwardToItself). - A service whose definition changed while it was acquired stayed acquiring (TestDocumentChangesDuringAcquisition). - Acquire, StepDown, Acquire: the first acquisition completed the second before its predecessor had answered, so limits could be exceeded (TestBrokenOffAcquisition). - A message from a peer could reserve 256 MiB; now 16 MiB.

--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -171,8 +171,12 @@
 }
 
 // forward sends the request to the only process that may run it. If that process
-// has ended, it is unknown whether the request ran.
+// has ended, it is unknown whether the request ran. A request for another process of
+// this VM, or for a run that this process no longer knows, would come back here.
 func (k *keyedRequest) forward(ctx context.Context, vm string, incarnation uint64) *answer.Answer {
+	if vm == k.entry.config.VM {
+		return k.unknownAnswer(answer.CodeIssuerGone, "this node has no record of the request; it may have run and will not run again", false)
+	}
 	m, found := k.view.Members[vm]
 	gone := found && (m.Incarnation > incarnation || m.Incarnation == incarnation && m.State == member.Dead)
 	if !found || gone {
@@ -212,8 +216,7 @@
 // Forwarded handles a request that another node forwarded, in the same way as one
 // from a caller. The request may be forwarded again: if its ticket names another
 // process, or if this process has no run under its key and can't take over its
-// claim, which has no answer yet. Nothing but the deadline limits the number of
-// hops. The returned message is empty if the request can't be decoded or its answer
+// claim, which has no answer yet. The returned message is empty if the request can't be decoded or its answer
 // can't be encoded.
 func (e *Entry) Forwarded(ctx context.Context, forward *wire.Forward) *wire.Forwarded {
 	var request query.Request
--- /dev/null
+++ b/internal/entry/keyed_test.go
@@ -0,0 +1,63 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/bronzereach/bronzereach/internal/peer"
+	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/pkg/answer"
+	"github.com/bronzereach/bronzereach/pkg/document"
+	"github.com/bronzereach/bronzereach/pkg/member"
+	"github.com/bronzereach/bronzereach/pkg/query"
+)
+
+// TestNoForwardToItself: a ticket that names another process of this VM, as any caller
+// may forge one, is answered at once. The node used to forward such a request to
+// itself until its deadline.
+func TestNoForwardToItself(t *testing.T) {
+	const vm, incarnation = "vm-1", 7
+	recorder := timeline.NewRecorder(vm, logr.Discard())
+	network := peer.NewNetwork(peer.Config{VM: vm, Incarnation: incarnation, Clock: recorder.Clock})
+	parsed, err := document.Parse([]byte(`name = "test"
+[[rank]]
+name = "urgent"
+[[pool]]
+name = "orders"
+slots = 1
+connections = 8
+upstreams = ["127.0.0.1:1"]
+[[kind]]
+name = "order"
+rank = "urgent"
+pool = "orders"
+deadline = "500ms"
+repeat = false
+`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := member.Member{VM: vm, Incarnation: incarnation, State: member.Ready, PeerAddress: "127.0.0.1:1"}
+	view := &View{Document: parsed, Self: self, Members: map[string]member.Member{vm: self}}
+	e := New(Config{
+		VM: vm, Incarnation: incarnation, Recorder: recorder, Network: network,
+		View:          func() *View { return view },
+		ReportFailure: func(string) {},
+	})
+	for _, ticket := range []string{"ticket.vm-1.6.1.1.x", "ticket.vm-1.8.1.1.x"} {
+		start := time.Now()
+		a := e.Answer(context.Background(), query.Request{Kind: "order", Key: ticket, FirstUse: true})
+		if a.Status != answer.Unknown || a.Error == nil || a.Error.Code != answer.CodeIssuerGone {
+			t.Errorf("%s: status %v, error %+v", ticket, a.Status, a.Error)
+		}
+		if took := time.Since(start); took > 100*time.Millisecond {
+			t.Errorf("%s: the answer took %s", ticket, took)
+		}
+	}
+	if _, _, calls := network.Traffic.Totals(); calls != 0 {
+		t.Errorf("%d calls to peers, want none", calls)
+	}
+}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -212,3 +213,58 @@
 		}
 	})
 }
+
+// TestDocumentChangesDuringAcquisition: a service whose definition changes while the
+// node acquires it is acquired by the next call of Acquire.
+func TestDocumentChangesDuringAcquisition(t *testing.T) {
+	upstreams := startUpstreams(t, standin.UpstreamConfig{})
+	g := startGates(t, "vm-1", upstreams)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.Acquire(ctx, "orders", blockedPredecessor)
+	changed := *g.document
+	changed.Services = slices.Clone(changed.Services)
+	changed.Services[0].Limits.Slots++
+	g.Apply(&changed)
+	g.Acquire(ctx, "orders", nil)
+	waiting, stop := context.WithTimeout(ctx, 2*time.Second)
+	defer stop()
+	if !g.lookup("orders").awaitAcquired(waiting) {
+		t.Error("the service is not acquired")
+	}
+}
+
+// blockedPredecessor doesn't answer before its call is given up.
+func blockedPredecessor(ctx context.Context) ([]*wire.InFlight, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// TestBrokenOffAcquisition: an acquisition that a step down broke off doesn't
+// complete the next one, whose predecessor may still use slots.
+func TestBrokenOffAcquisition(t *testing.T) {
+	upstreams := startUpstreams(t, standin.UpstreamConfig{})
+	g := startGates(t, "vm-1", upstreams)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	answer := make(chan struct{})
+	g.Acquire(ctx, "orders", func(context.Context) ([]*wire.InFlight, error) {
+		<-answer
+		return nil, nil
+	})
+	g.StepDown("orders")
+	g.Acquire(ctx, "orders", func(context.Context) ([]*wire.InFlight, error) {
+		time.Sleep(handoverTimeout)
+		return nil, nil
+	})
+	close(answer)
+	time.Sleep(handoverTimeout / 2)
+	if g.lookup("orders").currentRole() == active {
+		t.Error("the node is the gate before the predecessor of the second acquisition has answered")
+	}
+	waiting, stop := context.WithTimeout(ctx, 2*time.Second)
+	defer stop()
+	if !g.lookup("orders").awaitAcquired(waiting) {
+		t.Error("the second acquisition does not complete")
+	}
+}
--- a/internal/gate/gates.go
+++ b/internal/gate/gates.go
@@ -94,7 +94,11 @@
 		}
 		kept[definition.Name] = newService(g, definition, d)
 		if found {
-			kept[definition.Name].role = old.currentRole()
+			// An acquisition in progress is not taken over: the next call of Acquire
+			// starts another.
+			if old.currentRole() == active {
+				kept[definition.Name].role = active
+			}
 			old.close()
 		}
 	}
@@ -132,11 +136,15 @@
 // previous gate.
 func (g *Gates) Acquire(ctx context.Context, name string, predecessor ReleasePredecessor) {
 	s := g.lookup(name)
-	if s == nil || !s.acquire() {
+	if s == nil {
+		return
+	}
+	acquisition, started := s.acquire()
+	if !started {
 		return
 	}
 	g.config.Recorder.Record(timeline.Event{Name: timeline.GateAcquired, Service: name})
-	go s.loop(ctx, predecessor)
+	go s.loop(ctx, acquisition, predecessor)
 }
 
 // StepDown makes the node stop being the gate of a service. Queued sub-requests
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -60,6 +60,9 @@
 
 	mu   sync.Mutex
 	role role
+	// acquisition numbers the acquisitions, so that one that was broken off by a step
+	// down does not complete the next one.
+	acquisition uint64
 	// floors is the minimum share of each rank, most urgent first.
 	floors    []float64
 	upstreams *replica.Set
@@ -151,27 +154,28 @@
 	return s.role
 }
 
-// acquire starts an acquisition. It returns false if the node is already the gate
-// or the service is closed.
-func (s *service) acquire() bool {
+// acquire starts an acquisition and returns its number. It returns false if the node
+// is already the gate or the service is closed.
+func (s *service) acquire() (acquisition uint64, started bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.role != inactive || s.closed {
-		return false
+		return 0, false
 	}
 	s.role = acquiring
+	s.acquisition++
 	s.acquired = make(chan struct{})
-	return true
+	return s.acquisition, true
 }
 
 // loop completes an acquisition: it polls the upstreams, asks the predecessor to
 // release the service and makes the node the gate. It then keeps the slots that
 // the predecessor still uses reserved until they are free.
-func (s *service) loop(ctx context.Context, predecessor ReleasePredecessor) {
+func (s *service) loop(ctx context.Context, acquisition uint64, predecessor ReleasePredecessor) {
 	s.poll(ctx)
-	more := s.reserveForPredecessor(ctx, predecessor)
+	more := s.reserveForPredecessor(ctx, acquisition, predecessor)
 	s.mu.Lock()
-	if s.role == acquiring {
+	if s.role == acquiring && s.acquisition == acquisition {
 		s.role = active
 		close(s.acquired)
 		s.rebuildReport()
@@ -180,14 +184,14 @@
 	s.mu.Unlock()
 	for more && ctx.Err() == nil {
 		time.Sleep(handoverInterval)
-		more = s.reserveForPredecessor(ctx, predecessor)
+		more = s.reserveForPredecessor(ctx, acquisition, predecessor)
 	}
 }
 
 // reserveForPredecessor reserves the slots of the requests that the predecessor
 // still has in flight. It reports whether to call it again, because there are such
 // requests and the node is still the gate.
-func (s *service) reserveForPredecessor(ctx context.Context, predecessor ReleasePredecessor) bool {
+func (s *service) reserveForPredecessor(ctx context.Context, acquisition uint64, predecessor ReleasePredecessor) bool {
 	if predecessor == nil {
 		return false
 	}
@@ -196,6 +200,9 @@
 	inFlight, err := predecessor(ctx)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if s.acquisition != acquisition {
+		return false
+	}
 	for position := range s.upstreams.Len() {
 		s.upstreams.Reserve(position, 0)
 	}
--- a/internal/wire/frame.go
+++ b/internal/wire/frame.go
@@ -11,8 +11,9 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// MaxMessageBytes is the size of the largest message accepted from a peer.
-const MaxMessageBytes = 256 << 20
+// MaxMessageBytes is the size of the largest message accepted from a peer. The
+// largest ones sent hold all upstreams of a large deployment or a configuration.
+const MaxMessageBytes = 16 << 20
 
 var unmarshalOptions = protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}
 
