replica: callers who leave early don't take an unknown replica out of use

Change: a latency of 50 ms is assumed until one is known. TestCallersWhoLeaveEarly failed with 2 of 4 requests without a replica.

--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -39,6 +39,8 @@
 	// noAnswerFactor is the multiple of the expected latency, or of the median if
 	// that is higher, after which an abandoned attempt counts as failed.
 	noAnswerFactor = 8.0
+	// unknownLatency is the latency assumed before the first reply of a group.
+	unknownLatency = 50 * time.Millisecond
 )
 
 // Replica is one upstream of a Group. C is the type of the data that the owner
@@ -254,7 +256,7 @@
 func (g *Group[C]) Finish(replica *Replica[C], now time.Time, outcome Outcome, took time.Duration) {
 	state := &replica.state
 	state.inFlight--
-	if outcome == Abandoned && took.Seconds() > noAnswerFactor*max(state.expected, g.median) {
+	if outcome == Abandoned && took.Seconds() > noAnswerFactor*g.usualLatency(replica) {
 		outcome = Failed
 	}
 	if outcome == Succeeded || outcome == Refused || outcome == Failed {
@@ -287,6 +289,14 @@
 	g.updateExpected(now)
 }
 
+// usualLatency returns how long a reply of the replica usually takes, in seconds.
+func (g *Group[C]) usualLatency(replica *Replica[C]) float64 {
+	if g.median == 0 {
+		return unknownLatency.Seconds()
+	}
+	return max(replica.state.expected, g.median)
+}
+
 // updateExpected recomputes the median latency and the expected latency of each
 // replica.
 func (g *Group[C]) updateExpected(now time.Time) {
--- a/pkg/replica/group_test.go
+++ b/pkg/replica/group_test.go
@@ -226,3 +226,13 @@
 		t.Errorf("%.3f of the requests left the zone although the near replica is full", crossed)
 	}
 }
+
+// TestCallersWhoLeaveEarly: before the first reply of a service, callers who leave
+// after a few milliseconds don't take its only replica out of use.
+func TestCallersWhoLeaveEarly(t *testing.T) {
+	sim := newGroupSimulation(1)
+	counts := sim.sendRequests(4, func(string) (Outcome, time.Duration) { return Abandoned, 5 * time.Millisecond })
+	if counts["a"] != 4 {
+		t.Errorf("requests by replica %v, want 4 at a", counts)
+	}
+}
