--- a/internal/relay/answerlog.go
+++ b/internal/relay/answerlog.go
@@ -87,10 +87,11 @@
 
 // Metrics holds a relay's Prometheus metrics.
 type Metrics struct {
-	answers *prometheus.CounterVec
-	extras  *prometheus.CounterVec
-	latency *prometheus.HistogramVec
-	omitted *prometheus.CounterVec
+	answers  *prometheus.CounterVec
+	attempts *prometheus.CounterVec
+	bytes    *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	omitted  *prometheus.CounterVec
 }
 
 func newMetrics() *Metrics {
@@ -99,10 +100,14 @@
 			Name: "bronzereach_relay_answers_total",
 			Help: "Answers to callers by outcome and reason.",
 		}, []string{"outcome", "reason"}),
-		extras: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "bronzereach_relay_extra_attempts_total",
-			Help: "Attempts beyond the first by cause.",
-		}, []string{"cause"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bronzereach_relay_attempts_total",
+			Help: "Attempts at upstreams by cause and by whether they leave the availability zone.",
+		}, []string{"cause", "zone"}),
+		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bronzereach_relay_upstream_bytes_total",
+			Help: "Bytes sent to and received from upstreams, by whether they leave the availability zone.",
+		}, []string{"zone"}),
 		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{
 			Name:    "bronzereach_relay_answer_seconds",
 			Help:    "Time from a request to its answer.",
@@ -117,7 +122,7 @@
 
 // Collectors returns the collectors to register.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answers, m.extras, m.latency, m.omitted}
+	return []prometheus.Collector{m.answers, m.attempts, m.bytes, m.latency, m.omitted}
 }
 
 func (m *Metrics) countAnswer(answer *Answer, elapsed time.Duration) {
@@ -128,6 +133,18 @@
 	}
 }
 
-func (m *Metrics) countExtraAttempt(cause string) {
-	m.extras.WithLabelValues(cause).Inc()
+func (m *Metrics) countAttempt(cause string, crossesZones bool) {
+	m.attempts.WithLabelValues(cause, zoneLabel(crossesZones)).Inc()
+}
+
+// upstreamBytes returns the counter of the bytes of connections to upstreams.
+func (m *Metrics) upstreamBytes(crossesZones bool) byteCounter {
+	return m.bytes.WithLabelValues(zoneLabel(crossesZones))
+}
+
+func zoneLabel(crossesZones bool) string {
+	if crossesZones {
+		return "other"
+	}
+	return "own"
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -55,6 +55,11 @@
 	a.events <- e
 }
 
+// crossesZones reports whether the replica is in another availability zone.
+func (a *attempt) crossesZones() bool {
+	return a.upstreamReplica.Registration.AvailabilityZone != a.service.relay.config.AvailabilityZone
+}
+
 func (a *attempt) exchange() forwarderEvent {
 	var c *connection
 	if a.request.Route.Idempotent {
@@ -65,7 +70,7 @@
 	}
 	if c == nil {
 		var err error
-		if c, err = dial(a.upstreamReplica.Registration.Address, time.Until(a.answerDeadline)); err != nil {
+		if c, err = dial(a.upstreamReplica.Registration.Address, time.Until(a.answerDeadline), a.service.relay.Metrics.upstreamBytes(a.crossesZones())); err != nil {
 			return forwarderEvent{run: NotRun, reason: ReasonUnreachable}
 		}
 	}
--- a/internal/relay/connection.go
+++ b/internal/relay/connection.go
@@ -126,15 +126,41 @@
 	p.idle = nil
 }
 
-func dial(address string, timeout time.Duration) (*connection, error) {
+// byteCounter counts the bytes of connections.
+type byteCounter interface {
+	Add(float64)
+}
+
+// countingConn is a connection that counts its bytes.
+type countingConn struct {
+	net.Conn
+	bytes byteCounter
+}
+
+// Read implements net.Conn.
+func (c countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.bytes.Add(float64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.bytes.Add(float64(n))
+	return n, err
+}
+
+func dial(address string, timeout time.Duration, bytes byteCounter) (*connection, error) {
 	socket, err := net.DialTimeout("tcp4", address, min(dialTimeout, timeout))
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
+	counted := countingConn{Conn: socket, bytes: bytes}
 	c := &connection{
-		net:    socket,
-		reader: NewReplyReader(socket),
-		writer: bufio.NewWriterSize(socket, bufferLength),
+		net:    counted,
+		reader: NewReplyReader(counted),
+		writer: bufio.NewWriterSize(counted, bufferLength),
 	}
 	if syscallConn, ok := socket.(syscall.Conn); ok {
 		c.raw, err = syscallConn.SyscallConn()
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -141,7 +141,7 @@
 	chosen, queued := s.service.reserveOrEnqueue(time.Now(), waiter{forwarder: f, shard: i, answerBy: f.plan.answerBy})
 	switch {
 	case chosen != nil:
-		f.startAttempt(i, chosen)
+		f.startAttempt(i, chosen, firstAttempt)
 	case queued:
 		s.waiting, s.reason = true, ReasonNoCapacity
 	default:
@@ -149,8 +149,12 @@
 	}
 }
 
+// firstAttempt is the cause of the first attempt of a shard in metrics; the others
+// are those of a budget.Cause.
+const firstAttempt = "first"
+
 // startAttempt starts an attempt at the given replica.
-func (f *forwarder) startAttempt(i int, chosen *upstreamReplica) {
+func (f *forwarder) startAttempt(i int, chosen *upstreamReplica, cause string) {
 	s := &f.shards[i]
 	a := &attempt{
 		request:         f.request,
@@ -165,6 +169,7 @@
 	s.running = append(s.running, a)
 	s.countedAttempts++
 	f.attempts++
+	f.relay.Metrics.countAttempt(cause, a.crossesZones())
 	go a.run()
 }
 
@@ -174,7 +179,7 @@
 	s := &f.shards[e.shard]
 	if e.granted != nil {
 		s.waiting, s.reason = false, ""
-		f.startAttempt(e.shard, e.granted)
+		f.startAttempt(e.shard, e.granted, firstAttempt)
 		return
 	}
 	s.removeAttempt(e.attempt)
@@ -235,8 +240,7 @@
 		s.retryDenied = retryDenied
 		return false
 	}
-	f.relay.Metrics.countExtraAttempt(cause.String())
-	f.startAttempt(i, chosen)
+	f.startAttempt(i, chosen, cause.String())
 	return true
 }
 
