relay: only nodes that serve callers keep idle connections

Cause: the connections that an upstream accepts were shared out over the serving nodes, but all nodes kept their share open. Change: nodes that don't serve callers keep none; the share of the others may be none too, where there are more of them than connections.

TestConnectionsAreShared: with idle connections at all nodes, 295 of which 18 serve keep 2,360 to an upstream that accepts 195.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,9 +45,12 @@
 	Protocol         Protocol
 	// Budget bounds attempts beyond the first, summed over all nodes.
 	Budget budget.Config
-	// NodeCount returns the number of nodes that share budgets and connections.
+	// NodeCount returns the number of nodes that serve callers and so share budgets
+	// and connections.
 	NodeCount func() int
-	Log       logr.Logger
+	// Serves reports whether this node is one of them. Another one gets few requests.
+	Serves func() bool
+	Log    logr.Logger
 }
 
 // Relay forwards requests according to its routing table and the known
@@ -163,14 +166,29 @@
 // upstream.
 func (r *Relay) updateConnectionLimits(s *routingState) {
 	nodes := max(r.config.NodeCount(), 1)
+	serves := r.config.Serves()
 	for name, svc := range s.services {
-		maxBusy, maxIdle := math.MaxInt32, math.MaxInt32
-		if settings, found := s.table.Service(name); found && settings.Connections > 0 {
-			share := float64(settings.Connections) / float64(nodes)
-			maxBusy, maxIdle = int(busyFraction*share), int(idleFraction*share)
-		}
-		svc.setConnectionLimits(maxBusy, max(maxIdle, 1), nodes)
+		settings, _ := s.table.Service(name)
+		maxBusy, maxIdle := connectionShare(settings.Connections, nodes, serves)
+		svc.setConnectionLimits(maxBusy, maxIdle, nodes)
+	}
+}
+
+// connectionShare returns how many busy and idle connections a node may have to an
+// upstream that accepts the given number from all nodes; 0 for no limit. Idle ones
+// are kept only by nodes that serve callers, and only if there is one for each of
+// them: in a large fleet the idle connections of the others would use up the limit,
+// and the upstream would reset those of the nodes that serve.
+func connectionShare(connections, nodes int, serves bool) (maxBusy, maxIdle int) {
+	maxBusy, maxIdle = math.MaxInt32, math.MaxInt32
+	if connections > 0 {
+		share := float64(connections) / float64(nodes)
+		maxBusy, maxIdle = int(busyFraction*share), int(idleFraction*share)
+	}
+	if !serves {
+		maxIdle = 0
 	}
+	return max(maxBusy, 1), maxIdle
 }
 
 // Tick updates limits that depend on the number of nodes and closes idle
