relay: a request's own wakeups bring its answer forward

Cause: the first request of a node knows no delay of wakeups yet. Change: each wakeup of a request updates the time at which its own answer is due.

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -100,6 +100,7 @@
 			f.handleEvent(e)
 		case <-timer.C:
 			f.relay.wakeupDelay.record(time.Since(wakeup))
+			f.plan.expectWakeup(f.relay.wakeupDelay.estimate())
 			f.hedge(time.Now())
 		case <-ctx.Done():
 			return &Answer{Outcome: CallerDisconnected, Run: f.runStatus(), Attempts: f.attempts}
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -38,8 +38,11 @@
 	// retryAfter is the usual retry delay of a refused caller.
 	retryAfter time.Duration
 	// answerBy is when an answer with at least requiredShards is sent even if
-	// shards are missing, so that it meets the objective.
-	answerBy time.Time
+	// shards are missing, so that it meets the objective. It is earlier than
+	// latestAnswer, by which that must happen, by the expected delay of wakeups, which
+	// is maxWakeup at most.
+	answerBy, latestAnswer time.Time
+	maxWakeup              time.Duration
 	// lateAnswerAt is the same for an answer that could not be sent at answerBy.
 	lateAnswerAt time.Time
 	// late is true if requiredShards were reached only at answerBy plus answerMargin
@@ -76,16 +79,17 @@
 	if expected.usualReply > 0 {
 		delay = min(max(expected.usualReply, earliest), latest)
 	}
-	wakeup := min(expected.wakeup, time.Duration(maxWakeupFraction*float64(objective)))
 	p := plan{
 		hedgeAt:        request.Received.Add(delay),
 		hedgeDelay:     delay,
-		answerBy:       callerStart.Add(objective - callerRoundTrip - answerMargin - wakeup),
+		latestAnswer:   callerStart.Add(objective - callerRoundTrip - answerMargin),
+		maxWakeup:      time.Duration(maxWakeupFraction * float64(objective)),
 		lateAnswerAt:   callerStart.Add(time.Duration(lateAnswerFactor * float64(objective))),
 		answerDeadline: answerDeadline.Add(-callerRoundTrip - 2*answerMargin),
 		requiredShards: 1,
 		sharded:        len(matched.Shards) > 0,
 	}
+	p.expectWakeup(expected.wakeup)
 	p.retryAfter = p.answerBy.Sub(p.hedgeAt)
 	if matched.Idempotent {
 		p.hedgeRoundsLeft = hedgeRounds
@@ -96,6 +100,11 @@
 	return p
 }
 
+// expectWakeup sets the expected delay of wakeups.
+func (p *plan) expectWakeup(delay time.Duration) {
+	p.answerBy = p.latestAnswer.Add(-min(delay, p.maxWakeup))
+}
+
 // startHedgeRound reports whether a hedge round starts now. If so, it schedules the
 // next one.
 func (p *plan) startHedgeRound(now time.Time) bool {
