--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -176,13 +176,41 @@
 	return snapshot
 }
 
+// HasMissing reports whether registrations are missing from the store that Expire may
+// remove.
+func (r *Registry) HasMissing() bool {
+	return len(r.missing) > 0
+}
+
+// IsLeaving reports whether an upstream is known to be leaving, from its
+// registration or from a peer's report.
+func (r *Registry) IsLeaving(id string) bool {
+	registration, known := r.current[id]
+	return known && (registration.Leaving || r.reportedLeaving(registration))
+}
+
+// Leaving returns the IDs of the upstreams that are known to be leaving.
+func (r *Registry) Leaving() map[string]bool {
+	leaving := map[string]bool{}
+	for id := range r.current {
+		if r.IsLeaving(id) {
+			leaving[id] = true
+		}
+	}
+	return leaving
+}
+
+// reportedLeaving reports whether a peer's report that an upstream is leaving applies
+// to a registration.
+func (r *Registry) reportedLeaving(registration Registration) bool {
+	report, reported := r.reported[registration.ID]
+	return reported && report.revision >= registration.Revision
+}
+
 // All returns the registrations, sorted by ID and with the peers' reports
 // applied. Of several at one address it returns only the one that started last.
 func (r *Registry) All() []Registration {
-	return r.list(func(registration Registration) bool {
-		lr, reported := r.reported[registration.ID]
-		return reported && lr.revision >= registration.Revision
-	})
+	return r.list(r.reportedLeaving)
 }
 
 // list returns the registrations, sorted by ID. leaves reports whether a
