--- a/internal/capacity/capacity.go
+++ b/internal/capacity/capacity.go
@@ -170,7 +170,7 @@
 		{"member", "processor for assignments", "1648/day * 4 claims / 4 regions * assignmentMillis", assignmentCores, 0, "cores", "rendezvous hashing with a load bound, by region"},
 		{"member", "processor for configurations", "2600/day * parseMillis", parseCores, 0, "cores", "one parse of a document for each change"},
 		{"member", "processor in all", "sum", m.RestProcessor + assignmentCores + parseCores, limitCPUCores, "cores", ""},
-		{"member", "memory", "smallMegabytes + slope * (2900-smallNodes)", m.SmallMegabytes + memorySlope*addedNodes, limitMemoryMegabytes, "MB", "one row and at most two links for each member"},
+		{"member", "memory", "smallMegabytes + slope * (2900-smallNodes)", m.SmallMegabytes + memorySlope*addedNodes, limitMemoryMegabytes, "MB", "one row for each member; links to a bounded number of neighbors"},
 		{"member", "configuration in force everywhere", "spreadRounds / 4 a second", propagationSeconds, limitPropagationSeconds, "s", "each exchange names the version; who is behind fetches"},
 		{"watcher", "reads of the platform", "11 zones * 2 * (1/4 watches + 1 list) a second", watchers * (watchesPerSecond + listsPerSecond), limitReadsPerSecond, "calls/s", "one watcher a zone, three a region at least, so two a zone at most; by hash order, no lease"},
 		{"watcher", "writes to the platform", "11 zones * 2 * 1/5 status + 2600/day", watchers*statusesPerSecond + changesPerSecond, limitWritesPerSecond, "calls/s", "one status object a zone"},
