--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -150,6 +150,7 @@
 		Handler:     n,
 		SourceIP:    n.peerSourceIP(),
 		TLS:         mutualTLS,
+		Log:         n.log,
 	})
 	n.gates = gate.New(gate.Config{
 		VM:          n.options.VM,
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/go-logr/logr"
 	"github.com/hashicorp/yamux"
 	"github.com/pkg/errors"
 
@@ -57,6 +58,7 @@
 	Clock   *timeline.Clock
 	Timers  *timer.Service
 	Handler Handler
+	Log     logr.Logger
 	// SourceIP is the local address to dial from; nil for any.
 	SourceIP net.IP
 	// TLS is nil for plain TCP. With TLS both sides present a certificate.
@@ -164,7 +166,16 @@
 	defer cancel()
 	go cancelOnStreamEnd(reader, cancel)
 	replies := &replyWriter{stream: stream, clock: n.config.Clock}
+	if err := n.handle(ctx, call, replies); err != nil {
+		n.config.Log.Error(err, "peerCallPanicked")
+	}
+}
+
+// handle passes a call to the handler. A panic ends the call, not the process.
+func (n *Network) handle(ctx context.Context, call *wire.Call, replies *replyWriter) (err error) {
+	defer util.RecoverError(&err)
 	n.config.Handler.Handle(ctx, call, replies.write)
+	return nil
 }
 
 // replyWriter writes the replies of one call.
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -7,6 +7,8 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/internal/timer"
 	"github.com/bronzereach/bronzereach/internal/wire"
@@ -88,5 +90,38 @@
 }
 
 func testConfig(vm string, handler Handler) Config {
-	return Config{VM: vm, Incarnation: 1, Clock: &timeline.Clock{}, Timers: timer.NewService(), Handler: handler}
+	return Config{VM: vm, Incarnation: 1, Clock: &timeline.Clock{}, Timers: timer.NewService(), Handler: handler, Log: logr.Discard()}
+}
+
+// panickingHandler fails on a probe and answers any other call.
+type panickingHandler struct{}
+
+func (panickingHandler) Handle(_ context.Context, call *wire.Call, send func(*wire.Reply) error) {
+	if call.GetProbe() != nil {
+		panic("unexpected message")
+	}
+	_ = send(&wire.Reply{})
+}
+
+// TestUnexpectedMessageEndsOnlyItsCall: a message that makes the handler panic ends
+// its own call; the process and the link go on.
+func TestUnexpectedMessageEndsOnlyItsCall(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	server := NewNetwork(testConfig("vm-1", panickingHandler{}))
+	go func() { _ = server.Serve(ctx, listener) }()
+	caller := NewNetwork(testConfig("vm-2", nil))
+	for range 3 {
+		probe := &wire.Call{Body: &wire.Call_Probe{Probe: &wire.Probe{}}}
+		if _, err := caller.CallUnary(ctx, "vm-1", listener.Addr().String(), probe); err == nil {
+			t.Error("the unexpected message was answered")
+		}
+		if _, err := caller.CallUnary(ctx, "vm-1", listener.Addr().String(), &wire.Call{}); err != nil {
+			t.Errorf("the next call failed: %v", err)
+		}
+	}
 }
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/pkg/replica"
 )
 
@@ -48,13 +49,39 @@
 // run performs the exchange and reports its end to the service first, then to
 // the forwarder.
 func (a *attempt) run() {
-	e := a.exchange()
+	e, err := a.guardedExchange()
+	if err != nil {
+		a.service.relay.config.Log.Error(err, "attemptPanicked", "service", a.service.name,
+			"upstream", a.upstreamReplica.Registration.ID, "requestID", a.request.ID)
+	}
 	e.attempt, e.shard = a, a.shard
 	e.elapsed = time.Since(a.started)
 	a.recordOutcome(e)
 	a.events <- e
 }
 
+// guardedExchange performs the exchange. A panic counts as a broken reply.
+func (a *attempt) guardedExchange() (e forwarderEvent, err error) {
+	defer func() {
+		if err != nil {
+			a.closeConnection()
+			e = forwarderEvent{run: MayHaveRun, reason: ReasonBrokenReply}
+		}
+	}()
+	defer util.RecoverError(&err)
+	return a.exchange(), nil
+}
+
+// closeConnection closes the connection that the exchange still uses, if any.
+func (a *attempt) closeConnection() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.connection != nil {
+		a.connection.close()
+		a.connection = nil
+	}
+}
+
 // crossesZones reports whether the replica is in another availability zone.
 func (a *attempt) crossesZones() bool {
 	return a.upstreamReplica.Registration.AvailabilityZone != a.service.relay.config.AvailabilityZone
--- a/internal/util/util.go
+++ b/internal/util/util.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +30,15 @@
 	*err = errors.WithMessagef(*err, format, arguments...)
 }
 
+// RecoverError turns a panic into an error with the stack. It is meant for one
+// deferred call in a function with a named error result that handles what another
+// process has sent: a single unexpected message must not end this process.
+func RecoverError(err *error) {
+	if cause := recover(); cause != nil {
+		*err = errors.Errorf("panic: %v\n%s", cause, debug.Stack())
+	}
+}
+
 // Set is a set of comparable values. The zero value is an empty set that can be
 // read; Add panics on it. It is not safe for concurrent writes.
 type Set[T comparable] map[T]struct{}
