relay: an answer that still meets the objective doesn't wait

Cause: whether an answer is late was judged by the time at which the forwarder asks to be woken, which late wakeups bring forward by up to 15% of the objective. An answer that became possible between the two waited for up to twice the objective (TestAnswerStillInTime failed). Change: judged by the latest time that meets the objective.

--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -37,16 +37,16 @@
 	hedgeRoundsLeft int
 	// retryAfter is the usual retry delay of a refused caller.
 	retryAfter time.Duration
-	// answerBy is when an answer with at least requiredShards is sent even if
-	// shards are missing, so that it meets the objective. It is earlier than
-	// latestAnswer, by which that must happen, by the expected delay of wakeups, which
-	// is maxWakeup at most.
-	answerBy, latestAnswer time.Time
+	// latestAnswer is when an answer with at least requiredShards must be sent, even
+	// if shards are missing, to meet the objective. answerBy is when the forwarder
+	// asks to be woken for it: sooner by the expected delay of wakeups, maxWakeup at
+	// most.
+	latestAnswer, answerBy time.Time
 	maxWakeup              time.Duration
 	// lateAnswerAt is the same for an answer that could not be sent at answerBy.
 	lateAnswerAt time.Time
-	// late is true if requiredShards were reached only at answerBy plus answerMargin
-	// or later, so that the answer misses the objective anyway.
+	// late is true if requiredShards were reached only at latestAnswer plus
+	// answerMargin or later, so that the answer misses the objective anyway.
 	late bool
 	// answerDeadline is when the request must be answered.
 	answerDeadline time.Time
@@ -125,7 +125,7 @@
 
 // recordEnough records when requiredShards have succeeded.
 func (p *plan) recordEnough(now time.Time) {
-	p.late = !now.Before(p.answerBy.Add(answerMargin))
+	p.late = !now.Before(p.latestAnswer.Add(answerMargin))
 }
 
 // canAnswer reports whether a merged answer with the given number of successful
--- a/internal/relay/plan_test.go
+++ b/internal/relay/plan_test.go
@@ -115,6 +115,18 @@
 	}
 }
 
+// TestAnswerStillInTime: on a node with late wakeups, an answer that becomes possible
+// after answerBy but before the objective goes out at once; it is not late.
+func TestAnswerStillInTime(t *testing.T) {
+	p, start := planOf(queryRoute(), 0)
+	p.expectWakeup(15 * time.Millisecond)
+	possible := start.Add(88 * time.Millisecond)
+	p.recordEnough(possible)
+	if !p.canAnswer(possible, 9, 10) {
+		t.Error("an answer that meets the objective waits for its last shard")
+	}
+}
+
 // TestWakeupDelayIsBounded: whatever was recorded, an answer is not planned for more
 // than maxWakeupFraction of the objective sooner.
 func TestWakeupDelayIsBounded(t *testing.T) {
