--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -353,14 +353,14 @@
 		}
 	}
 	t.updateNeighbors()
-	distance := otherRegion
+	d := otherRegion
 	switch {
 	case random.Float64() < ownZoneProbability:
-		distance = sameZone
+		d = sameZone
 	case random.Float64() < ownRegionProbability:
-		distance = sameRegion
+		d = sameRegion
 	}
-	if partner, ok = t.chooseNeighbor(random, t.neighbors[distance]); ok {
+	if partner, ok = t.chooseNeighbor(random, t.neighbors[d]); ok {
 		return partner, true
 	}
 	return t.chooseNeighbor(random, slices.Concat(t.neighbors[:]...))
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -146,8 +146,8 @@
 }
 
 // Expire removes the registrations that have been missing for reregistrationTime,
-// all of it without an outage, and the peers' reports that have expired. It returns the IDs of the removed
-// registrations and whether anything changed.
+// all of it without an outage, and the peers' reports that have expired. It returns
+// the IDs of the removed registrations and whether anything changed.
 func (r *Registry) Expire(now time.Time) (gone []string, changed bool) {
 	for id, lr := range r.reported {
 		if r.failingSince.IsZero() && !now.Before(lr.until) && now.Sub(r.outageEnd) >= peerReportLifetime {
@@ -176,8 +176,7 @@
 	return snapshot
 }
 
-// HasMissing reports whether registrations are missing from the store that Expire may
-// remove.
+// HasMissing reports whether there are registrations that Expire may remove.
 func (r *Registry) HasMissing() bool {
 	return len(r.missing) > 0
 }
--- a/pkg/upstream/zones.go
+++ b/pkg/upstream/zones.go
@@ -7,8 +7,8 @@
 const zoneFraction = 0.5
 
 // Zones returns, sorted, the availability zones that hold upstreams of many of the
-// given services, whose names are sorted. A node in another zone sends nearly all of its requests for them
-// across zones.
+// given services, whose names must be sorted. A node in another zone sends nearly all
+// of its requests for them across zones.
 func Zones(registrations []Registration, services []string) []string {
 	held := map[string]map[string]bool{}
 	for _, r := range registrations {
