member: the loss of a strong node adds few weak ones

Cause: the strong nodes served alone while they held a fifth of all capacity, and below that a fifth of all nodes served. On the large deployment 18 strong nodes of 295 hold 0.213, so that the loss of two sent most callers to nodes that answer late: 22 of 29 serving nodes were weak (TestLossOfStrongAddsFewWeak; now at most a third with up to seven lost). Change: only as many weak nodes are added as make up the capacity, and none while strong ones near the upstreams are enough.

--- a/pkg/member/serving.go
+++ b/pkg/member/serving.go
@@ -37,12 +37,12 @@
 }
 
 // Serving returns the ready members that callers should use. In a large cluster
-// these are the members with the highest capacity, taken from the availability
-// zones in turn, so that callers don't use the weak nodes of a cluster whose nodes
-// differ in capacity. Nodes with equal tables choose the same members, and a change
-// of one member changes few of them.
+// these are the strong ones, taken from the availability zones in turn, so that
+// callers don't use the weak nodes of a cluster whose nodes differ in capacity. Nodes
+// with equal tables choose the same members, and a change of one member changes few
+// of them.
 func Serving(members []Member, config ServingConfig) []Member {
-	order := interleaveZones(selectNear(selectStrong(members), config.UpstreamZones))
+	order := interleaveZones(selectCandidates(members, config.UpstreamZones))
 	count := max(minimumServing, int(servingFraction*float64(len(order))))
 	return order[:min(count, config.Limit, len(order))]
 }
@@ -67,53 +67,81 @@
 	return local
 }
 
-// selectNear returns the ready members in the given availability zones if they are
-// enough to serve alone; otherwise it returns all members. A query costs its caller
-// one crossing of zones at most, but a node in a zone without upstreams one for each
-// shard.
-func selectNear(members []Member, zones []string) []Member {
-	var near []Member
-	nearTotal, total := 0.0, 0.0
-	for _, m := range members {
-		if m.State != Ready {
-			continue
+// selectCandidates returns the ready members to choose from: the strong ones if there
+// are minimumStrong, and otherwise all; of these the ones near upstreams if they are
+// enough to serve alone.
+func selectCandidates(members []Member, upstreamZones []string) []Member {
+	ready := readyByCapacity(members)
+	strong := countStrong(ready)
+	if strong < minimumStrong {
+		near, _ := selectNear(ready, upstreamZones)
+		return near
+	}
+	if near, enough := selectNear(ready[:strong], upstreamZones); enough {
+		return near
+	}
+	return addWeak(ready, strong)
+}
+
+// countStrong returns how many of the members, which are sorted by falling capacity,
+// are strong.
+func countStrong(ready []Member) int {
+	for i, m := range ready {
+		if float64(m.Capacity) < strongCapacityFraction*float64(ready[0].Capacity) {
+			return i
 		}
-		weight := max(1, float64(m.Capacity))
-		total += weight
+	}
+	return len(ready)
+}
+
+// addWeak returns the strong members, which are the first of those sorted by falling
+// capacity, with as many of the others as are needed to hold servingFraction of the
+// capacity. The loss of one strong member thus adds few weak ones, and not a fifth of
+// the cluster.
+func addWeak(ready []Member, strong int) []Member {
+	held, count := capacityOf(ready[:strong]), strong
+	for needed := servingFraction * capacityOf(ready); held < needed && count < len(ready); count++ {
+		held += capacityOf(ready[count : count+1])
+	}
+	return ready[:count]
+}
+
+// selectNear returns the members in the given availability zones if they are enough to
+// serve alone; otherwise it returns all. A query costs its caller one crossing of zones
+// at most, but a node in a zone without upstreams one for each shard.
+func selectNear(ready []Member, zones []string) (selected []Member, enough bool) {
+	var near []Member
+	for _, m := range ready {
 		if slices.Contains(zones, m.AvailabilityZone) {
 			near = append(near, m)
-			nearTotal += weight
 		}
 	}
-	if len(near) < minimumNear || nearTotal < nearCapacityFraction*total {
-		return members
+	if len(near) < minimumNear || capacityOf(near) < nearCapacityFraction*capacityOf(ready) {
+		return ready, false
 	}
-	return near
+	return near, true
 }
 
-// selectStrong returns the strong ready members if there are at least
-// minimumStrong of them and they hold servingFraction of the capacity of all
-// ready members; otherwise it returns all members.
-func selectStrong(members []Member) []Member {
-	strongest, total := uint32(0), 0.0
+// capacityOf returns the capacity of the members together. One of unknown capacity
+// counts as the least.
+func capacityOf(members []Member) float64 {
+	total := 0.0
 	for _, m := range members {
-		if m.State == Ready {
-			strongest = max(strongest, m.Capacity)
-			total += float64(m.Capacity)
-		}
+		total += max(1, float64(m.Capacity))
 	}
-	var strong []Member
-	strongTotal := 0.0
+	return total
+}
+
+// readyByCapacity returns the ready members, the highest capacity first.
+func readyByCapacity(members []Member) []Member {
+	var ready []Member
 	for _, m := range members {
-		if m.State == Ready && float64(m.Capacity) >= strongCapacityFraction*float64(strongest) {
-			strong = append(strong, m)
-			strongTotal += float64(m.Capacity)
+		if m.State == Ready {
+			ready = append(ready, m)
 		}
 	}
-	if len(strong) < minimumStrong || strongTotal < servingFraction*total {
-		return members
-	}
-	return strong
+	slices.SortFunc(ready, compareCapacity)
+	return ready
 }
 
 // interleaveZones orders the ready members round-robin over the availability
