Upstreams missing from the store are not passed on as present

Change: what is missing is not passed on, and what is missing from a peer's list is kept for the usual time without a new revision, so that notices apply.

--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -129,16 +129,17 @@
 }
 
 // Replace replaces the contents by a full list of the store's registrations and
-// returns the IDs of those that were removed. Just after an outage, registrations
-// that are missing from the list are kept, as by Remove.
-func (r *Registry) Replace(now time.Time, registrations []Registration) (gone []string) {
+// returns the IDs of those that were removed. Registrations that are missing from the
+// list are kept for a while just after an outage or if stale is true, as by Remove. A
+// list that a peer has sent counts as stale.
+func (r *Registry) Replace(now time.Time, registrations []Registration, stale bool) (gone []string) {
 	present := make(map[string]bool, len(registrations))
 	for _, registration := range registrations {
 		present[registration.ID] = true
 		r.Put(registration)
 	}
 	for id := range r.current {
-		if !present[id] && r.Remove(now, id, false) {
+		if !present[id] && r.Remove(now, id, stale) {
 			gone = append(gone, id)
 		}
 	}
@@ -167,9 +168,16 @@
 
 // Snapshot returns the registrations as the store has them as of a revision, sorted
 // and selected as by All, and apart from them the reports of peers, to pass both on
-// to other nodes.
+// to other nodes. Registrations that are missing from the store are not among them:
+// another node would take them for present as of the revision and ignore the earlier
+// notices that they leave.
 func (r *Registry) Snapshot(revision uint64) Snapshot {
-	snapshot := Snapshot{Revision: revision, Registrations: r.list(func(Registration) bool { return false })}
+	present := r.list(func(Registration) bool { return false })
+	present = slices.DeleteFunc(present, func(registration Registration) bool {
+		_, missing := r.missing[registration.ID]
+		return missing
+	})
+	snapshot := Snapshot{Revision: revision, Registrations: present}
 	for id, report := range r.reported {
 		snapshot.Reports = append(snapshot.Reports, LeaveReport{ID: id, Revision: report.revision})
 	}
--- a/pkg/upstream/registry_test.go
+++ b/pkg/upstream/registry_test.go
@@ -21,11 +21,11 @@
 	r := NewRegistry()
 	now := time.Unix(100, 0)
 	a, b := Registration{ID: "a", Address: "1"}, Registration{ID: "b", Address: "2"}
-	r.Replace(now, []Registration{a, b})
+	r.Replace(now, []Registration{a, b}, false)
 	r.StoreFailed(now)
 	now = now.Add(10 * time.Second)
 	r.StoreAnswered(now)
-	r.Replace(now, nil)
+	r.Replace(now, nil, false)
 	if got := ids(r); got != "ab" {
 		t.Errorf("just after the outage: %q", got)
 	}
@@ -45,7 +45,7 @@
 func TestRemovedWithoutOutage(t *testing.T) {
 	r := NewRegistry()
 	now := time.Unix(100, 0)
-	r.Replace(now, []Registration{{ID: "a", Address: "1"}})
+	r.Replace(now, []Registration{{ID: "a", Address: "1"}}, false)
 	r.Remove(now, "a", false)
 	if got := ids(r); got != "" {
 		t.Errorf("still there: %q", got)
@@ -60,7 +60,7 @@
 	r.Replace(now, []Registration{
 		{ID: "old", Address: "1", Service: "s", Born: 1},
 		{ID: "new", Address: "1", Service: "t", Born: 2},
-	})
+	}, false)
 	if got := ids(r); got != "new" {
 		t.Errorf("%q at the address", got)
 	}
@@ -73,7 +73,7 @@
 func TestSilentCallIsNoOutage(t *testing.T) {
 	r := NewRegistry()
 	now := time.Unix(100, 0)
-	r.Replace(now, []Registration{{ID: "a", Address: "1"}})
+	r.Replace(now, []Registration{{ID: "a", Address: "1"}}, false)
 	r.StoreFailed(now)
 	now = now.Add(100 * time.Millisecond)
 	r.StoreAnswered(now)
@@ -89,7 +89,7 @@
 func TestNoOutageNoticed(t *testing.T) {
 	r := NewRegistry()
 	now := time.Unix(100, 0)
-	r.Replace(now, []Registration{{ID: "a", Address: "1", Revision: 5}, {ID: "b", Address: "2", Revision: 5}})
+	r.Replace(now, []Registration{{ID: "a", Address: "1", Revision: 5}, {ID: "b", Address: "2", Revision: 5}}, false)
 	if r.Remove(now, "a", true) || r.Remove(now, "b", true) {
 		t.Error("removed at once")
 	}
