--- a/pkg/member/serving_test.go
+++ b/pkg/member/serving_test.go
@@ -14,6 +14,20 @@
 	return members
 }
 
+// unevenMembers returns ready members in the given number of availability zones. The
+// first ones, as many as strong, have a capacity of 800, the others of 192.
+func unevenMembers(count, zones, strong int) []Member {
+	members := readyMembers(count)
+	for i := range members {
+		members[i].AvailabilityZone = fmt.Sprint("zone-", i%zones)
+		members[i].Capacity = 192
+		if i < strong {
+			members[i].Capacity = 800
+		}
+	}
+	return members
+}
+
 // TestServing checks that all nodes of a small cluster serve and a part of a
 // large one, and that the loss of a serving member adds one other and keeps the
 // rest.
@@ -76,14 +90,7 @@
 // weak ones: only the strong ones serve while there are enough of them, and
 // weak ones serve too once most of the strong ones are dead.
 func TestWeakServeOnlyIfNeeded(t *testing.T) {
-	members := readyMembers(64)
-	for i := range members {
-		members[i].AvailabilityZone = fmt.Sprint("zone-", i%4)
-		members[i].Capacity = 192
-		if i < 8 {
-			members[i].Capacity = 800
-		}
-	}
+	members := unevenMembers(64, 4, 8)
 	if got := Serving(members, ServingConfig{Limit: 64}); len(got) != 8 || got[7].Capacity != 800 {
 		t.Errorf("%d serve, the last with capacity %d", len(got), got[len(got)-1].Capacity)
 	}
@@ -118,14 +125,7 @@
 // zones, as long as the nodes near the replicas are enough.
 func TestNodesNearUpstreamsServe(t *testing.T) {
 	zones := []string{"zone-0", "zone-1", "zone-2"}
-	members := readyMembers(64)
-	for i := range members {
-		members[i].AvailabilityZone = fmt.Sprint("zone-", i%4)
-		members[i].Capacity = 192
-		if i < 8 {
-			members[i].Capacity = 800
-		}
-	}
+	members := unevenMembers(64, 4, 8)
 	config := ServingConfig{Limit: 64, UpstreamZones: zones}
 	got := Serving(members, config)
 	if len(got) != 6 {
@@ -177,14 +177,7 @@
 // upstreams. The callers, who use the serving nodes alike, go mostly to strong ones
 // all the while: a weak node answers most queries late.
 func TestLossOfStrongAddsFewWeak(t *testing.T) {
-	members := readyMembers(295)
-	for i := range members {
-		members[i].AvailabilityZone = fmt.Sprint("zone-", i%6)
-		members[i].Capacity = 192
-		if i < 18 {
-			members[i].Capacity = 800
-		}
-	}
+	members := unevenMembers(295, 6, 18)
 	config := ServingConfig{Limit: 64, UpstreamZones: []string{"zone-0", "zone-1", "zone-2"}}
 	for lost := range 8 {
 		got := Serving(members, config)
