--- a/internal/relay/answerlog.go
+++ b/internal/relay/answerlog.go
@@ -89,9 +89,11 @@
 type Metrics struct {
 	answers  *prometheus.CounterVec
 	attempts *prometheus.CounterVec
-	bytes    *prometheus.CounterVec
-	latency  *prometheus.HistogramVec
-	omitted  *prometheus.CounterVec
+	// rateLimited counts the attempts at upstreams that have named a rate limit.
+	rateLimited *prometheus.CounterVec
+	bytes       *prometheus.CounterVec
+	latency     *prometheus.HistogramVec
+	omitted     *prometheus.CounterVec
 }
 
 func newMetrics() *Metrics {
@@ -104,6 +106,10 @@
 			Name: "bronzereach_relay_attempts_total",
 			Help: "Attempts at upstreams by cause and by whether they leave the availability zone.",
 		}, []string{"cause", "zone"}),
+		rateLimited: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bronzereach_relay_rate_limited_attempts_total",
+			Help: "Attempts at upstreams that have named a rate limit, by cause.",
+		}, []string{"cause"}),
 		bytes: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "bronzereach_relay_upstream_bytes_total",
 			Help: "Bytes sent to and received from upstreams, by whether they leave the availability zone.",
@@ -122,7 +128,7 @@
 
 // Collectors returns the collectors to register.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answers, m.attempts, m.bytes, m.latency, m.omitted}
+	return []prometheus.Collector{m.answers, m.attempts, m.rateLimited, m.bytes, m.latency, m.omitted}
 }
 
 func (m *Metrics) countAnswer(answer *Answer, elapsed time.Duration) {
@@ -137,6 +143,10 @@
 	m.attempts.WithLabelValues(cause, zoneLabel(crossesZones)).Inc()
 }
 
+func (m *Metrics) countRateLimitedAttempt(cause string) {
+	m.rateLimited.WithLabelValues(cause).Inc()
+}
+
 // upstreamBytes returns the counter of the bytes of connections to upstreams.
 func (m *Metrics) upstreamBytes(crossesZones bool) byteCounter {
 	return m.bytes.WithLabelValues(zoneLabel(crossesZones))
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/bronzereach/bronzereach/pkg/replica"
 	"github.com/bronzereach/bronzereach/pkg/route"
 	"github.com/bronzereach/bronzereach/pkg/upstream"
 )
@@ -86,6 +87,10 @@
 	Body        []byte
 	// Signature proves which upstream made the reply.
 	Signature string
+	// RateLimit is the limit that the upstream names; TellsRateLimit is false if the
+	// reply does not tell whether there is one.
+	RateLimit      replica.RateLimit
+	TellsRateLimit bool
 	// IdleTimeout is how long the upstream keeps the idle connection open. It is 0
 	// if the upstream closes the connection, or if the connection holds bytes
 	// that belong to no reply.
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -90,11 +90,19 @@
 func (s *service) reserveReplica(now time.Time) *upstreamReplica {
 	chosen := s.replicaGroup.Choose(now, nil, s.random)
 	if chosen != nil {
-		s.replicaGroup.Start(chosen, now)
+		s.start(chosen, now, firstAttempt)
 	}
 	return chosen
 }
 
+// start counts an attempt at a replica.
+func (s *service) start(chosen *upstreamReplica, now time.Time, cause string) {
+	s.replicaGroup.Start(chosen, now)
+	if _, limited := chosen.RateLimit().PerSecond(); limited {
+		s.relay.Metrics.countRateLimitedAttempt(cause)
+	}
+}
+
 // enqueue inserts a waiter after those of the same or a more urgent rank.
 func (s *service) enqueue(w waiter) {
 	rank := w.forwarder.request.Route.Rank
@@ -127,7 +135,7 @@
 	case !s.window.Spend(now.Sub(s.relay.started), s.relay.config.NodeCount(), cause):
 		return nil, ReasonNoBudget
 	}
-	s.replicaGroup.Start(chosen, now)
+	s.start(chosen, now, cause.String())
 	return chosen, ""
 }
 
@@ -140,9 +148,27 @@
 	if e.reply != nil && e.reply.Misdirected {
 		s.replicaGroup.MarkReplaced(a.upstreamReplica)
 	}
+	s.updateRateLimit(now, a, e.reply)
 	s.grantCapacity(now)
 }
 
+// updateRateLimit takes over the rate limit that a reply names.
+func (s *service) updateRateLimit(now time.Time, a *attempt, reply *Reply) {
+	if reply == nil || !reply.Valid || reply.Misdirected || !reply.TellsRateLimit {
+		return
+	}
+	if !s.replicaGroup.SetRateLimit(a.upstreamReplica, reply.RateLimit) {
+		return
+	}
+	skipped, ok := s.relay.logLimiter.allow(now, false)
+	if !ok {
+		return
+	}
+	perSecond, limited := reply.RateLimit.PerSecond()
+	s.relay.config.Log.Info("upstreamRateLimit", "service", s.name, "upstream", a.upstreamReplica.Registration.ID,
+		"limited", limited, "perSecond", perSecond, "requestID", a.request.ID, "linesSkipped", skipped)
+}
+
 // returnGrant frees a replica that was granted to a forwarder that has ended.
 func (s *service) returnGrant(now time.Time, granted *upstreamReplica) {
 	s.mu.Lock()
--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -61,6 +61,13 @@
 	// shedUntil is the time until which other replicas are preferred because this
 	// one shed a request.
 	shedUntil time.Time
+	// rateLimit is the limit that the upstream named last.
+	rateLimit RateLimit
+}
+
+// RateLimit returns the limit that the upstream named last.
+func (r *Replica[C]) RateLimit() RateLimit {
+	return r.rateLimit
 }
 
 // Group selects among the upstreams of one service while upstreams join and
@@ -244,6 +251,14 @@
 	replica.replaced, replica.state.leaving = true, true
 }
 
+// SetRateLimit records the limit that a replica named and reports whether it is
+// another one than before.
+func (g *Group[C]) SetRateLimit(replica *Replica[C], limit RateLimit) (changed bool) {
+	changed = replica.rateLimit != limit
+	replica.rateLimit = limit
+	return changed
+}
+
 // Start records the start of an attempt.
 func (g *Group[C]) Start(replica *Replica[C], now time.Time) {
 	replica.state.inFlight++
