--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -45,12 +45,17 @@
 	Protocol         Protocol
 	// Budget bounds attempts beyond the first, summed over all nodes.
 	Budget budget.Config
-	// NodeCount returns the number of nodes that serve callers and so share budgets
-	// and connections.
-	NodeCount func() int
-	// Serves reports whether this node is one of them. Another one gets few requests.
-	Serves func() bool
-	Log    logr.Logger
+	// Fleet returns the nodes that send requests to the upstreams.
+	Fleet func() Fleet
+	Log   logr.Logger
+}
+
+// Fleet tells how many nodes share what upstreams allow, such as connections.
+type Fleet struct {
+	// Serving is the number of nodes that callers are sent to; at least 1.
+	Serving int
+	// Serves is true if this node is one of them. Another one gets few requests.
+	Serves bool
 }
 
 // Relay forwards requests according to its routing table and the known
@@ -165,12 +170,11 @@
 // updateConnectionLimits sets how many connections this node may have to each
 // upstream.
 func (r *Relay) updateConnectionLimits(s *routingState) {
-	nodes := max(r.config.NodeCount(), 1)
-	serves := r.config.Serves()
+	fleet := r.config.Fleet()
 	for name, svc := range s.services {
 		settings, _ := s.table.Service(name)
-		maxBusy, maxIdle := connectionShare(settings.Connections, nodes, serves)
-		svc.setConnectionLimits(maxBusy, maxIdle, nodes)
+		maxBusy, maxIdle := connectionShare(settings.Connections, fleet)
+		svc.setConnectionLimits(maxBusy, maxIdle, fleet.Serving)
 	}
 }
 
@@ -179,13 +183,13 @@
 // are kept only by nodes that serve callers, and only if there is one for each of
 // them: in a large fleet the idle connections of the others would use up the limit,
 // and the upstream would reset those of the nodes that serve.
-func connectionShare(connections, nodes int, serves bool) (maxBusy, maxIdle int) {
+func connectionShare(connections int, fleet Fleet) (maxBusy, maxIdle int) {
 	maxBusy, maxIdle = math.MaxInt32, math.MaxInt32
 	if connections > 0 {
-		share := float64(connections) / float64(nodes)
+		share := float64(connections) / float64(fleet.Serving)
 		maxBusy, maxIdle = int(busyFraction*share), int(idleFraction*share)
 	}
-	if !serves {
+	if !fleet.Serves {
 		maxIdle = 0
 	}
 	return max(maxBusy, 1), maxIdle
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -15,7 +15,7 @@
 // services or routes behind. A service that the table still names is kept while
 // it has no upstreams.
 func TestOldServicesAreForgotten(t *testing.T) {
-	r := New(Config{NodeCount: func() int { return 1 }, Serves: func() bool { return true }, Log: logr.Discard()})
+	r := New(Config{Fleet: func() Fleet { return Fleet{Serving: 1, Serves: true} }, Log: logr.Discard()})
 	for i := range 20 {
 		shard, name := fmt.Sprint("shard-", i), fmt.Sprint("route-", i)
 		r.SetUpstreams([]upstream.Registration{{ID: shard, Service: shard, Address: shard, Slots: 1}})
@@ -37,7 +37,7 @@
 // TestLowerTableVersionIsIgnored: a table with a lower version does not replace the
 // current one.
 func TestLowerTableVersionIsIgnored(t *testing.T) {
-	r := New(Config{NodeCount: func() int { return 1 }, Serves: func() bool { return true }, Log: logr.Discard()})
+	r := New(Config{Fleet: func() Fleet { return Fleet{Serving: 1, Serves: true} }, Log: logr.Discard()})
 	r.SetTable(route.NewTable(route.Config{Version: 5}))
 	r.SetTable(route.NewTable(route.Config{Version: 4}))
 	if got := r.Table().Version(); got != 5 {
@@ -52,7 +52,7 @@
 	for _, fleet := range []struct{ nodes, serving int }{{9, 9}, {64, 9}, {295, 18}, {295, 295}, {2900, 64}} {
 		idle := 0
 		for i := range fleet.nodes {
-			maxBusy, maxIdle := connectionShare(accepted, fleet.serving, i < fleet.serving)
+			maxBusy, maxIdle := connectionShare(accepted, Fleet{Serving: fleet.serving, Serves: i < fleet.serving})
 			idle += maxIdle
 			if maxBusy < 1 {
 				t.Errorf("%+v: a node may not connect at all", fleet)
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -132,7 +132,7 @@
 		return nil, ""
 	case chosen == nil:
 		return nil, ReasonNoCapacity
-	case !s.window.Spend(now.Sub(s.relay.started), s.relay.config.NodeCount(), cause):
+	case !s.window.Spend(now.Sub(s.relay.started), s.relay.config.Fleet().Serving, cause):
 		return nil, ReasonNoBudget
 	}
 	s.start(chosen, now, cause.String())
--- a/internal/relay/service_test.go
+++ b/internal/relay/service_test.go
@@ -20,7 +20,7 @@
 }
 
 func newSingleSlotService() *singleSlotService {
-	r := New(Config{NodeCount: func() int { return 9 }, Serves: func() bool { return true }, Log: logr.Discard(), Budget: budget.Config{Period: 10 * time.Second}})
+	r := New(Config{Fleet: func() Fleet { return Fleet{Serving: 9, Serves: true} }, Log: logr.Discard(), Budget: budget.Config{Period: 10 * time.Second}})
 	s := newService(r, "s")
 	now := time.Now()
 	s.updateReplicas(now, []upstream.Registration{{ID: "a", Address: "a", Slots: 2}})
