relay: what a rate limit does not let through in time is refused at once

With every replica of a service limited, a request without a turn was held until twice its objective and then refused (TestBeyondRateLimitIsRefusedAtOnce failed before: refused after 800 ms as noRoom, objective 400 ms). The queue and the limits tell before that it can't be served: such a request is refused before anything is sent, with the reason rateLimited and a Retry-After after which its turn comes in time. A query over shards is refused only if the shards that are left are too few; otherwise the others answer it as before.

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -79,7 +79,7 @@
 
 // run sends the request to all shards and returns the answer.
 func (f *forwarder) run(ctx context.Context) *Answer {
-	if answer := f.refuseWithoutUpstreams(); answer != nil {
+	if answer := f.refuseUnservable(); answer != nil {
 		return answer
 	}
 	for i := range f.shards {
@@ -108,28 +108,34 @@
 	}
 }
 
-// refuseWithoutUpstreams returns a refusal if too few of the services have a
-// usable replica, and nil otherwise.
-func (f *forwarder) refuseWithoutUpstreams() *Answer {
+// refuseUnservable returns a refusal if too few of the services can take the request
+// before it would be given up, and nil otherwise.
+func (f *forwarder) refuseUnservable() *Answer {
 	now := time.Now()
-	usable := 0
+	left := minTime(f.plan.lateAnswerAt, f.plan.answerDeadline).Sub(now)
+	available, reason := 0, ReasonNoUpstream
 	wait := f.plan.retryAfter
 	for i := range f.shards {
 		s := f.shards[i].service
 		if s == nil {
 			continue
 		}
-		count, untilUsable := s.usable(now)
-		if count > 0 {
-			usable++
-		} else if untilUsable > 0 {
-			wait = min(wait, untilUsable)
+		a := s.availability(now, f.request.Route.Rank)
+		switch {
+		case a.usable > 0 && a.rateWait < left:
+			available++
+		case a.usable > 0:
+			// A caller who returns then still has to wait, but not for too long.
+			reason = ReasonRateLimited
+			wait = max(wait, a.rateWait-left)
+		case a.untilUsable > 0:
+			wait = min(wait, a.untilUsable)
 		}
 	}
-	if usable >= f.plan.requiredShards {
+	if available >= f.plan.requiredShards {
 		return nil
 	}
-	return refusal(ReasonNoUpstream, clampRetryAfter(wait))
+	return refusal(reason, clampRetryAfter(wait))
 }
 
 // startFirstAttempt starts the first attempt of a shard or queues the shard.
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -148,6 +148,7 @@
 	ReasonNoUpstream   Reason = "noUpstream"
 	ReasonNoCapacity   Reason = "noRoom"
 	ReasonNoBudget     Reason = "noBudget"
+	ReasonRateLimited  Reason = "rateLimited"
 	ReasonShed         Reason = "shed"
 	ReasonUnreachable  Reason = "unreached"
 	ReasonBrokenReply  Reason = "broken"
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -112,11 +112,7 @@
 
 // enqueue inserts a waiter after those of the same or a more urgent rank.
 func (s *service) enqueue(w waiter) {
-	rank := w.forwarder.request.Route.Rank
-	position := len(s.waiting)
-	for position > 0 && s.waiting[position-1].forwarder.request.Route.Rank > rank {
-		position--
-	}
+	position := s.countWaiters(w.forwarder.request.Route.Rank)
 	s.waiting = slices.Insert(s.waiting, position, w)
 }
 
@@ -236,12 +232,33 @@
 	return 0
 }
 
-// usable returns the number of replicas that may get attempts and the time until
-// the first of the others may.
-func (s *service) usable(now time.Time) (int, time.Duration) {
+// availability tells when a service can take one more request.
+type availability struct {
+	// usable is the number of replicas that may get attempts, untilUsable the time
+	// until the first of the others may.
+	usable      int
+	untilUsable time.Duration
+	// rateWait is how long the rate limits of the usable replicas keep the request
+	// waiting.
+	rateWait time.Duration
+}
+
+// availability returns when the service can take one more request of the rank.
+func (s *service) availability(now time.Time, rank int) (a availability) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.replicaGroup.CountUsable(now)
+	a.usable, a.untilUsable = s.replicaGroup.CountUsable(now)
+	a.rateWait = s.replicaGroup.RateWait(now, s.countWaiters(rank))
+	return a
+}
+
+// countWaiters returns how many waiters go before a new one of the rank.
+func (s *service) countWaiters(rank int) int {
+	count := len(s.waiting)
+	for count > 0 && s.waiting[count-1].forwarder.request.Route.Rank > rank {
+		count--
+	}
+	return count
 }
 
 // closeExpired closes the idle connections that upstreams are about to close.
--- a/pkg/replica/ratelimit.go
+++ b/pkg/replica/ratelimit.go
@@ -112,6 +112,28 @@
 	return r.pacer.limit
 }
 
+// RateWait returns how long the rate limits of the usable replicas keep a request
+// waiting if the given number of others go first; 0 if one of them has no limit.
+func (g *Group[C]) RateWait(now time.Time, ahead int) time.Duration {
+	tokens, rate := 0.0, 0.0
+	for _, replica := range g.replicas {
+		if !replica.state.usable(now) {
+			continue
+		}
+		if !replica.pacer.limit.limited {
+			return 0
+		}
+		replica.pacer.refill(g.rateShare, now)
+		tokens += replica.pacer.tokens
+		rate += replica.pacer.rate(g.rateShare)
+	}
+	missing := float64(ahead+1) - tokens
+	if missing <= 0 || rate == 0 {
+		return 0
+	}
+	return time.Duration(missing / rate * float64(time.Second))
+}
+
 // NextRateAllowed returns the time until a replica that has a free slot is allowed its
 // next attempt by its rate limit; ok is false if no replica waits for that.
 func (g *Group[C]) NextRateAllowed(now time.Time) (wait time.Duration, ok bool) {
