Revisions are in order across a restore of the store

Cause: the store's number of a change was taken for a total order. A restored store gives numbers out again, so lists and changes below the highest number known were dropped as old, and a watch went on from a number that now means another change.

A removal is remembered for a minute.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -6,7 +6,6 @@
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -60,7 +59,7 @@
 	AnnounceLeaving(upstream, incarnation string)
 	// RequestUpstreams asks a peer for its upstreams if it has a revision of the
 	// store later than known; it returns none otherwise.
-	RequestUpstreams(ctx context.Context, known uint64) (upstream.Snapshot, error)
+	RequestUpstreams(ctx context.Context, known upstream.Revision) (upstream.Snapshot, error)
 	// WatchesStoreClosely reports whether this node is one of those that must read
 	// current data from the store. The others may read stale data, which costs the
 	// store less, and get urgent news from their peers.
@@ -134,7 +133,7 @@
 
 // RequestUpstreams asks a peer for its upstreams. It picks a watcher or any ready
 // peer at random, because the watchers themselves may be cut off.
-func (n *Node) RequestUpstreams(ctx context.Context, known uint64) (upstreams upstream.Snapshot, err error) {
+func (n *Node) RequestUpstreams(ctx context.Context, known upstream.Revision) (upstreams upstream.Snapshot, err error) {
 	defer util.Annotate(&err, "ask a peer for upstreams")
 	peer, found := n.randomReadyPeer()
 	if !found {
@@ -142,7 +141,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, requestUpstreamsTimeout)
 	defer cancel()
-	call := &wire.Call{Body: &wire.Call_FetchUpstreams{FetchUpstreams: &wire.FetchUpstreams{KnownRevision: known}}}
+	call := &wire.Call{Body: &wire.Call_FetchUpstreams{FetchUpstreams: &wire.FetchUpstreams{KnownRevision: uint64(known)}}}
 	answer, err := n.network.CallUnary(ctx, peer.VM, peer.PeerAddress, call)
 	if err != nil {
 		return upstreams, err
@@ -171,7 +170,7 @@
 func (n *Node) handleFetchUpstreams(fetch *wire.FetchUpstreams, send func(*wire.Reply) error) {
 	upstreams := &wire.Upstreams{}
 	if n.adapter != nil {
-		if known := n.adapter.Upstreams(); known.Revision > fetch.GetKnownRevision() {
+		if known := n.adapter.Upstreams(); known.Revision > upstream.Revision(fetch.GetKnownRevision()) {
 			upstreams = snapshotToWire(known)
 		}
 	}
@@ -181,15 +180,15 @@
 func snapshotToWire(snapshot upstream.Snapshot) *wire.Upstreams {
 	notices := make([]*wire.Notice, len(snapshot.Reports))
 	for i, report := range snapshot.Reports {
-		notices[i] = &wire.Notice{Upstream: report.ID, Incarnation: strconv.FormatUint(report.Revision, 10)}
+		notices[i] = &wire.Notice{Upstream: report.ID, Incarnation: report.Revision.Encode()}
 	}
-	return &wire.Upstreams{Revision: snapshot.Revision, Registrations: registrationsToWire(snapshot.Registrations), Notices: notices}
+	return &wire.Upstreams{Revision: uint64(snapshot.Revision), Registrations: registrationsToWire(snapshot.Registrations), Notices: notices}
 }
 
 func snapshotFromWire(upstreams *wire.Upstreams) (snapshot upstream.Snapshot, err error) {
-	snapshot = upstream.Snapshot{Revision: upstreams.GetRevision(), Registrations: registrationsFromWire(upstreams.GetRegistrations())}
+	snapshot = upstream.Snapshot{Revision: upstream.Revision(upstreams.GetRevision()), Registrations: registrationsFromWire(upstreams.GetRegistrations())}
 	for _, notice := range upstreams.GetNotices() {
-		revision, err := strconv.ParseUint(notice.GetIncarnation(), 10, 64)
+		revision, err := upstream.DecodeRevision(notice.GetIncarnation())
 		if err != nil {
 			return upstream.Snapshot{}, errors.WithMessagef(err, "notice of upstream %q", notice.GetUpstream())
 		}
--- a/pkg/upstream/registration.go
+++ b/pkg/upstream/registration.go
@@ -22,7 +22,7 @@
 	// the upstream is slow after its start.
 	ColdRemaining time.Duration
 	// Revision is the revision of the store as of which the registration is known.
-	Revision uint64
+	Revision Revision
 }
 
 // SameProcess reports whether both were announced by the same process.
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -29,20 +29,30 @@
 	outageEnd    time.Time
 	// reported holds the peers' reports about leaving upstreams, by ID.
 	reported map[string]leaveReport
+	// restoredAt is when the store was found to have come back from an older copy of
+	// its contents; zero if it never did.
+	restoredAt time.Time
+	// removed holds, by ID, when registrations were removed, for removalMemory.
+	removed map[string]time.Time
 }
 
 // leaveReport is a peer's report that an upstream is leaving or gone.
 type leaveReport struct {
 	// revision is the revision of the store that the report is based on. The
 	// report doesn't apply to registrations of later revisions.
-	revision uint64
+	revision Revision
 	// until is when the report expires.
 	until time.Time
 }
 
 // NewRegistry returns an empty registry.
 func NewRegistry() *Registry {
-	return &Registry{current: map[string]Registration{}, missing: map[string]time.Time{}, reported: map[string]leaveReport{}}
+	return &Registry{
+		current:  map[string]Registration{},
+		missing:  map[string]time.Time{},
+		reported: map[string]leaveReport{},
+		removed:  map[string]time.Time{},
+	}
 }
 
 // StoreFailed records that a call to the store failed.
@@ -65,6 +75,7 @@
 // revision of the store no longer applies.
 func (r *Registry) Put(registration Registration) {
 	delete(r.missing, registration.ID)
+	delete(r.removed, registration.ID)
 	if old := r.current[registration.ID]; old.SameProcess(registration) && old.Leaving {
 		registration.Leaving = true
 	}
@@ -86,7 +97,7 @@
 // revision that a stale read may still bring. PeerReportedLeaving reports whether
 // the upstream is known and leaving only now: neither its registration nor an
 // earlier report said so.
-func (r *Registry) PeerReportedLeaving(now time.Time, id string, revision uint64) bool {
+func (r *Registry) PeerReportedLeaving(now time.Time, id string, revision Revision) bool {
 	registration, known := r.current[id]
 	if known && registration.Revision > revision {
 		return false
@@ -118,10 +129,16 @@
 		}
 		return false
 	}
-	r.Discard(id)
+	r.discardGone(now, id)
 	return true
 }
 
+// discardGone removes a registration whose upstream is gone.
+func (r *Registry) discardGone(now time.Time, id string) {
+	r.Discard(id)
+	r.removed[id] = now
+}
+
 // recentOutage reports whether the last outage ended less than
 // reregistrationTime ago.
 func (r *Registry) recentOutage(now time.Time) bool {
@@ -161,7 +178,12 @@
 			continue
 		}
 		gone = append(gone, id)
-		r.Discard(id)
+		r.discardGone(now, id)
+	}
+	for id, at := range r.removed {
+		if now.Sub(at) >= removalMemory {
+			delete(r.removed, id)
+		}
 	}
 	return gone, changed || len(gone) > 0
 }
@@ -170,12 +192,13 @@
 // and selected as by All, and apart from them the reports of peers, to pass both on
 // to other nodes. Registrations that are missing from the store are not among them:
 // another node would take them for present as of the revision and ignore the earlier
-// notices that they leave.
-func (r *Registry) Snapshot(revision uint64) Snapshot {
+// notices that they leave. The same goes for those that are reported to be leaving and
+// have not changed since the store was restored.
+func (r *Registry) Snapshot(revision Revision) Snapshot {
 	present := r.list(func(Registration) bool { return false })
 	present = slices.DeleteFunc(present, func(registration Registration) bool {
 		_, missing := r.missing[registration.ID]
-		return missing
+		return missing || registration.Revision.Era() < revision.Era() && r.reportedLeaving(registration)
 	})
 	snapshot := Snapshot{Revision: revision, Registrations: present}
 	for id, report := range r.reported {
--- a/pkg/upstream/snapshot.go
+++ b/pkg/upstream/snapshot.go
@@ -4,7 +4,7 @@
 type Snapshot struct {
 	// Revision is the revision of the store as of which the registrations are known;
 	// 0 if the node has not read the store.
-	Revision      uint64
+	Revision      Revision
 	Registrations []Registration
 	// Reports hold what peers reported of leaving upstreams.
 	Reports []LeaveReport
@@ -15,5 +15,5 @@
 	ID string
 	// Revision is the revision of the store that the report is based on. The report
 	// doesn't apply to registrations of later revisions.
-	Revision uint64
+	Revision Revision
 }
