What must not be repeated is not handed to a link that has gone silent

What a caller saw: an order that came in just after its gate had been cut off was answered unknown and never ran.

Cause: the batch was written to an open link of which nobody knew yet that it was silent. Of a call once sent nobody can tell whether it arrived, so it is not sent again.

The time that an order may take is a setting of the tests' cluster, as a gate is replaced in 3 to 4 s. The path of the users' platform has no gates and is not touched.

--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -470,6 +470,11 @@
 	for _, service := range c.services {
 		unanswered[service] = struct{}{}
 	}
+	if !c.scatter.kind.Repeatable {
+		if err := c.scatter.entry.config.Network.Confirm(ctx, c.to.vm, c.address); err != nil {
+			return unanswered, true
+		}
+	}
 	call := &wire.Call{Body: &wire.Call_Batch{Batch: c.batch}}
 	stream, err := c.scatter.entry.config.Network.Call(ctx, c.to.vm, c.address, call)
 	if err != nil {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -172,6 +172,13 @@
 // loop sends one ping and closes the link if it fails or is not answered in time.
 func (l *link) loop() {
 	defer l.pingPending.Store(false)
+	if !l.answersPing() {
+		l.close()
+	}
+}
+
+// answersPing reports whether the peer answers a ping in time.
+func (l *link) answersPing() bool {
 	pinged := make(chan error, 1)
 	go func() {
 		_, err := l.session.Ping()
@@ -179,11 +186,9 @@
 	}()
 	select {
 	case err := <-pinged:
-		if err != nil {
-			l.close()
-		}
+		return err == nil
 	case <-time.After(livenessTimeout):
-		l.close()
+		return false
 	}
 }
 
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -221,6 +221,22 @@
 	return nil, err
 }
 
+// Confirm checks that a member answers on the link that the next call to it uses. If it
+// does not, Confirm closes the link and returns ErrUnreachable. It is meant for calls
+// that must not be sent again: of one that is sent on a silent link nobody can tell
+// whether it arrived.
+func (n *Network) Confirm(ctx context.Context, vm, address string) error {
+	l, err := n.linkTo(ctx, vm, address)
+	if err != nil {
+		return errors.WithMessage(ErrUnreachable, err.Error())
+	}
+	if l.answersPing() {
+		return nil
+	}
+	n.removeLink(l)
+	return errors.WithMessage(ErrUnreachable, "the link is silent")
+}
+
 // CallUnary sends a call to a member and returns its single reply. Its errors are
 // those of Call and Stream.Receive.
 func (n *Network) CallUnary(ctx context.Context, vm, address string, call *wire.Call) (reply *wire.Reply, err error) {
--- a/internal/peer/network_test.go
+++ b/internal/peer/network_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/go-logr/logr"
+	"github.com/pkg/errors"
 
 	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/internal/timer"
@@ -89,6 +90,35 @@
 	}
 }
 
+// TestSilentLinkIsNotConfirmed: a member whose link has gone silent is reported as
+// unreachable in time, and a new link to it is confirmed.
+func TestSilentLinkIsNotConfirmed(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stalling := &stallingListener{Listener: listener}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() { _ = NewNetwork(testConfig("vm-1", panickingHandler{})).Serve(ctx, stalling) }()
+	caller := NewNetwork(testConfig("vm-2", nil))
+	if err := caller.Confirm(ctx, "vm-1", listener.Addr().String()); err != nil {
+		t.Fatalf("a link that answers is not confirmed: %v", err)
+	}
+	resume := stalling.stall()
+	started := time.Now()
+	if err := caller.Confirm(ctx, "vm-1", listener.Addr().String()); !errors.Is(err, ErrUnreachable) {
+		t.Errorf("a silent link was confirmed: %v", err)
+	}
+	if took := time.Since(started); took > 2*livenessTimeout {
+		t.Errorf("it took %v to tell", took)
+	}
+	resume()
+	if err := caller.Confirm(ctx, "vm-1", listener.Addr().String()); err != nil {
+		t.Errorf("the new link is not confirmed: %v", err)
+	}
+}
+
 func testConfig(vm string, handler Handler) Config {
 	return Config{VM: vm, Incarnation: 1, Clock: &timeline.Clock{}, Timers: timer.NewService(), Handler: handler, Log: logr.Discard()}
 }
--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -4,6 +4,7 @@
 package proof
 
 import (
+	"cmp"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -121,6 +122,8 @@
 // clusterConfig describes a cluster to start.
 type clusterConfig struct {
 	nodes, shards, replicas int
+	// orderDeadline is the deadline of kind order; 4 s if it is 0.
+	orderDeadline time.Duration
 	// withoutProxies connects the nodes directly, so that measurements don't
 	// include the cost of the proxies.
 	withoutProxies bool
@@ -132,12 +135,12 @@
 	c.server = httptest.NewServer(c.platform)
 	t.Cleanup(c.server.Close)
 	var text strings.Builder
-	text.WriteString(`name = "proof"
+	fmt.Fprintf(&text, `name = "proof"
 [[rank]]
 name = "urgent"
 [[rank]]
 name = "later"
-floor = "10%"
+floor = "10%%"
 [[index]]
 name = "records"
 slots = 4
@@ -151,13 +154,13 @@
 name = "order"
 rank = "urgent"
 pool = "orders"
-deadline = "4s"
+deadline = %q
 repeat = false
 [[check]]
 kind = "search"
 query = "record"
 minimumRecords = 1
-`)
+`, cmp.Or(config.orderDeadline, 4*time.Second).String())
 	for shard := range config.shards {
 		fmt.Fprintf(&text, "[[service]]\nname = \"records-%d\"\nindex = \"records\"\nupstreams = [%s]\n", shard,
 			c.startService(fmt.Sprintf("records-%d", shard), config.replicas))
--- a/internal/proof/zone_test.go
+++ b/internal/proof/zone_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -68,3 +69,35 @@
 		}
 	}
 }
+
+// TestOrderOverSilentLinkRuns: a request that must not be repeated comes in just as the
+// link to its gate has gone silent. It is not handed to that link, and runs once.
+func TestOrderOverSilentLinkRuns(t *testing.T) {
+	c := startCluster(t, clusterConfig{nodes: 4, shards: 4, replicas: 2, orderDeadline: 10 * time.Second})
+	gate := slices.IndexFunc(c.nodes, func(p *process) bool {
+		status, _ := c.status(p)
+		return slices.Contains(status.Gates, "orders")
+	})
+	cutOff := c.nodes[gate]
+	others := slices.Delete(slices.Clone(c.nodes), gate, gate+1)
+	tickets := make([]string, len(others))
+	for i, p := range others {
+		tickets[i] = c.ticket(p)
+	}
+	setZonePartition([]*process{cutOff}, others, true)
+	var orders sync.WaitGroup
+	for i, p := range others {
+		orders.Go(func() {
+			text := fmt.Sprintf("parcel %d", i)
+			a, err := c.sendRequest(p, orderRequest(text, tickets[i]))
+			if err != nil || a.Status != answer.RanOnce {
+				t.Errorf("%s: answer %+v, error %v", text, a, err)
+			}
+			if got := c.executions("orders", text); got != 1 {
+				t.Errorf("%s ran %d times", text, got)
+			}
+		})
+	}
+	orders.Wait()
+	setZonePartition([]*process{cutOff}, others, false)
+}
