--- a/internal/proof/cluster_test.go
+++ b/internal/proof/cluster_test.go
@@ -4,8 +4,8 @@
 package proof
 
 import (
-	"cmp"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
