relay: a turn that would come at the last moment is not promised

A request whose turn was expected just before it would be given up was queued, and its token came a timer's delay too late.

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -112,7 +112,8 @@
 // before it would be given up, and nil otherwise.
 func (f *forwarder) refuseUnservable() *Answer {
 	now := time.Now()
-	left := minTime(f.plan.lateAnswerAt, f.plan.answerDeadline).Sub(now)
+	// A turn that comes at the last moment would be missed by a late wakeup.
+	left := minTime(f.plan.lateAnswerAt, f.plan.answerDeadline).Sub(now) - f.plan.maxWakeup
 	available, reason := 0, ReasonNoUpstream
 	wait := f.plan.retryAfter
 	for i := range f.shards {
