relay: a turn within a rate limit is not promised twice

Cause: refuseUnservable asked under the service's lock when the request's turn comes, and startFirstAttempt queued it under the next hold. Requests that came at the same moment were promised the same turn; the ones too many waited until they were given up.

Change: reserveOrEnqueue checks the turn under the lock under which it queues, and refuses with the time to return. The early check stays for requests to several shards, which are refused before any shard is asked.

Test: TestTurnIsNotPromisedTwice fails without the check (the second request is queued).

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -37,6 +37,8 @@
 	sawMayHaveRun, sawRan bool
 	// lastFailure is the last failure reply of an upstream that ran the request.
 	lastFailure *Reply
+	// retryAfter is the retry delay told to the caller if the request is refused.
+	retryAfter time.Duration
 }
 
 // shardState is the state of one service that a forwarder sends to. A request to
@@ -74,6 +76,7 @@
 		usualReply: r.hedgeDelays.get(request.Route.Name),
 		wakeup:     r.wakeupDelay.estimate(),
 	})
+	f.retryAfter = f.plan.retryAfter
 	return f
 }
 
@@ -112,10 +115,9 @@
 // before it would be given up, and nil otherwise.
 func (f *forwarder) refuseUnservable() *Answer {
 	now := time.Now()
-	// A turn that comes at the last moment would be missed by a late wakeup.
-	left := minTime(f.plan.lateAnswerAt, f.plan.answerDeadline).Sub(now) - f.plan.maxWakeup
+	left := f.plan.grantBy().Sub(now)
 	available, reason := 0, ReasonNoUpstream
-	wait := f.plan.retryAfter
+	wait := f.retryAfter
 	for i := range f.shards {
 		s := f.shards[i].service
 		if s == nil {
@@ -146,14 +148,15 @@
 		f.settle(s, nil, ReasonNoUpstream)
 		return
 	}
-	chosen, queued := s.service.reserveOrEnqueue(time.Now(), waiter{forwarder: f, shard: i, answerBy: f.plan.answerBy})
+	got := s.service.reserveOrEnqueue(time.Now(), waiter{forwarder: f, shard: i, answerBy: f.plan.answerBy, grantBy: f.plan.grantBy()})
 	switch {
-	case chosen != nil:
-		f.startAttempt(i, chosen, firstAttempt)
-	case queued:
+	case got.replica != nil:
+		f.startAttempt(i, got.replica, firstAttempt)
+	case got.queued:
 		s.waiting, s.reason = true, ReasonNoCapacity
 	default:
-		f.settle(s, nil, ReasonNoUpstream)
+		f.retryAfter = max(f.retryAfter, got.retryAfter)
+		f.settle(s, nil, got.refused)
 	}
 }
 
@@ -379,7 +382,7 @@
 	case len(f.request.Route.Shards) == 0 && f.lastFailure != nil:
 		answer.Outcome, answer.Reply, answer.Reason = Answered, f.lastFailure, ReasonFailureReply
 	case answer.Run == NotRun:
-		answer.Outcome, answer.Reason, answer.RetryAfter = Refused, f.reason(), clampRetryAfter(f.plan.retryAfter)
+		answer.Outcome, answer.Reason, answer.RetryAfter = Refused, f.reason(), clampRetryAfter(f.retryAfter)
 	case !now.Before(f.plan.answerDeadline):
 		answer.Outcome, answer.Reason = TimedOut, ReasonDeadline
 	default:
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -143,6 +143,12 @@
 	return !p.late && !now.Before(p.answerBy)
 }
 
+// grantBy returns when the first replica must have been granted: the request is given
+// up soon after, and a grant at the last moment would be missed by a late wakeup.
+func (p *plan) grantBy() time.Time {
+	return minTime(p.lateAnswerAt, p.answerDeadline).Add(-p.maxWakeup)
+}
+
 // nextWakeup returns the next time at which the forwarder has something to decide.
 // It never returns a time at which there is nothing to do: the forwarder would
 // spin.
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -38,6 +38,20 @@
 	shard     int
 	// answerBy is when the answer must be sent to meet the objective.
 	answerBy time.Time
+	// grantBy is when the shard must have got a replica, or else waits in vain.
+	grantBy time.Time
+}
+
+// reservation is what a service gives to a shard: a replica, a place in the queue or a
+// refusal.
+type reservation struct {
+	// replica is nil unless it was reserved.
+	replica *upstreamReplica
+	queued  bool
+	// refused is the reason of a refusal, and empty otherwise. A caller who returns
+	// after retryAfter may find a place; 0 if that is not known.
+	refused    Reason
+	retryAfter time.Duration
 }
 
 func newService(r *Relay, name string) *service {
@@ -73,23 +87,27 @@
 
 // reserveOrEnqueue counts a request towards the budget and reserves a replica for
 // its first attempt, which the forwarder then starts. If no usable replica has free
-// capacity, the shard is queued. If no replica is usable, it returns nil and false.
-func (s *service) reserveOrEnqueue(now time.Time, w waiter) (chosen *upstreamReplica, queued bool) {
+// capacity, the shard is queued, unless its turn would come too late.
+func (s *service) reserveOrEnqueue(now time.Time, w waiter) reservation {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.window.AddRequest(now.Sub(s.relay.started))
 	// What has become free meanwhile is for those that wait already.
 	s.grantCapacity(now)
-	chosen = s.reserveReplica(now)
-	if chosen != nil {
-		return chosen, false
+	if chosen := s.reserveReplica(now); chosen != nil {
+		return reservation{replica: chosen}
 	}
 	if count, _ := s.replicaGroup.CountUsable(now); count == 0 {
-		return nil, false
+		return reservation{refused: ReasonNoUpstream}
+	}
+	// Others may have taken the turns that were left when availability was asked for.
+	rateWait, left := s.rateWait(now, w.forwarder.request.Route.Rank), w.grantBy.Sub(now)
+	if rateWait > 0 && rateWait >= left {
+		return reservation{refused: ReasonRateLimited, retryAfter: rateWait - left}
 	}
 	s.enqueue(w)
 	s.scheduleGrant(now)
-	return nil, true
+	return reservation{queued: true}
 }
 
 // reserveReplica chooses a replica and counts an attempt at it; nil if none has free
@@ -248,10 +266,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a.usable, a.untilUsable = s.replicaGroup.CountUsable(now)
-	a.rateWait = s.replicaGroup.RateWait(now, s.countWaiters(rank))
+	a.rateWait = s.rateWait(now, rank)
 	return a
 }
 
+// rateWait returns how long the rate limits of the usable replicas keep one more
+// request of the rank waiting.
+func (s *service) rateWait(now time.Time, rank int) time.Duration {
+	return s.replicaGroup.RateWait(now, s.countWaiters(rank))
+}
+
 // countWaiters returns how many waiters go before a new one of the rank.
 func (s *service) countWaiters(rank int) int {
 	count := len(s.waiting)
--- a/internal/relay/service_test.go
+++ b/internal/relay/service_test.go
@@ -32,8 +32,9 @@
 // queued.
 func (s *singleSlotService) sendRequest(rank int, objective time.Duration) (*forwarder, *upstreamReplica) {
 	f := &forwarder{request: &Request{Route: &route.Route{Rank: rank}}, events: make(chan forwarderEvent, 1)}
-	chosen, _ := s.service.reserveOrEnqueue(s.now, waiter{forwarder: f, answerBy: s.now.Add(objective)})
-	return f, chosen
+	answerBy := s.now.Add(objective)
+	got := s.service.reserveOrEnqueue(s.now, waiter{forwarder: f, answerBy: answerBy, grantBy: answerBy})
+	return f, got.replica
 }
 
 // finishAttempt ends the attempt on the replica after the given time.
@@ -113,3 +114,24 @@
 		t.Error("the granted slot was not returned")
 	}
 }
+
+// TestTurnIsNotPromisedTwice: of two requests that come at the same moment, a rate limit
+// lets only one start in time. The other one is refused at once.
+func TestTurnIsNotPromisedTwice(t *testing.T) {
+	const interval = 250 * time.Millisecond
+	s := newSingleSlotService()
+	_, slot := s.sendRequest(1, time.Second)
+	reply := &Reply{Valid: true, TellsRateLimit: true, RateLimit: replica.NewRateLimit(float64(time.Second / interval))}
+	s.service.recordOutcome(s.now, &attempt{request: &Request{}, upstreamReplica: slot}, replica.Succeeded, forwarderEvent{reply: reply})
+	first := &forwarder{request: &Request{Route: &route.Route{}}, events: make(chan forwarderEvent, 1)}
+	second := &forwarder{request: first.request, events: make(chan forwarderEvent, 1)}
+	firstTurn := s.service.availability(s.now, 0).rateWait
+	grantBy := s.now.Add(firstTurn + interval/2)
+	if got := s.service.reserveOrEnqueue(s.now, waiter{forwarder: first, grantBy: grantBy}); !got.queued {
+		t.Fatalf("the first request got %+v, want a place in the queue", got)
+	}
+	got := s.service.reserveOrEnqueue(s.now, waiter{forwarder: second, grantBy: grantBy})
+	if got.queued || got.refused != ReasonRateLimited || got.retryAfter <= 0 {
+		t.Errorf("the second request got %+v, want a refusal", got)
+	}
+}
