gate: slots reserved for a predecessor are freed when its requests end

Cause: a node that takes a service over reserves the slots of the requests that its predecessor has in flight, and asks again until there are none. It asked only once: whether to ask again was decided while the node was still taking over, with a condition that holds only after it. The reserved slots thus stayed taken until the next hand-over. A new gate allows each upstream one request at first, so one request in flight at each upstream of a shard was enough to keep all of the shard's queries waiting for ever. TestHandoverKeepsLimits could not see it: its hand-overs come every 30 ms and clear what the last one reserved.

Change: the condition is that the acquisition is still the current one. Repeated calls only ask for the requests in flight (new field of Release, which older nodes ignore): a late one must not make a predecessor step down that has become the gate again. An acquisition starts without the reservations of an earlier one.

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -111,7 +111,12 @@
 	const handovers = 30
 	for i := range handovers {
 		old, fresh := gates[i%2], gates[(i+1)%2]
-		fresh.Acquire(ctx, "orders", func(context.Context) ([]*wire.InFlight, error) { return old.Release("orders"), nil })
+		fresh.Acquire(ctx, "orders", func(_ context.Context, release bool) ([]*wire.InFlight, error) {
+			if release {
+				return old.Release("orders"), nil
+			}
+			return old.InFlight("orders"), nil
+		})
 		time.Sleep(30 * time.Millisecond)
 		now := time.Now()
 		old.Tick(ctx, now)
@@ -235,7 +240,7 @@
 }
 
 // blockedPredecessor doesn't answer before its call is given up.
-func blockedPredecessor(ctx context.Context) ([]*wire.InFlight, error) {
+func blockedPredecessor(ctx context.Context, _ bool) ([]*wire.InFlight, error) {
 	<-ctx.Done()
 	return nil, ctx.Err()
 }
@@ -248,12 +253,12 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	answer := make(chan struct{})
-	g.Acquire(ctx, "orders", func(context.Context) ([]*wire.InFlight, error) {
+	g.Acquire(ctx, "orders", func(context.Context, bool) ([]*wire.InFlight, error) {
 		<-answer
 		return nil, nil
 	})
 	g.StepDown("orders")
-	g.Acquire(ctx, "orders", func(context.Context) ([]*wire.InFlight, error) {
+	g.Acquire(ctx, "orders", func(context.Context, bool) ([]*wire.InFlight, error) {
 		time.Sleep(handoverTimeout)
 		return nil, nil
 	})
@@ -268,3 +273,42 @@
 		t.Error("the second acquisition does not complete")
 	}
 }
+
+// TestPredecessorsSlotsAreFreed: the slots that requests of the predecessor used are
+// free once these have ended, also for a gate that knows no more than one slot yet.
+func TestPredecessorsSlotsAreFreed(t *testing.T) {
+	upstreams := startUpstreams(t, standin.UpstreamConfig{})
+	g := startGates(t, "vm-1", upstreams)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	inFlight := []*wire.InFlight{{Upstream: upstreams[0].Address(), Count: 1}, {Upstream: upstreams[1].Address(), Count: 1}}
+	g.Acquire(ctx, "orders", func(_ context.Context, release bool) ([]*wire.InFlight, error) {
+		if release {
+			return inFlight, nil
+		}
+		return nil, nil
+	})
+	if reply := serveRequest(g, "1"); reply.GetRun() != wire.RunStatus_RUN_STATUS_RAN {
+		t.Errorf("after the hand-over: got %v, want an answer", reply)
+	}
+}
+
+// TestReservedSlotsEndWithAcquisition: slots that an acquisition has reserved for its
+// predecessor are free in the next one, which has none.
+func TestReservedSlotsEndWithAcquisition(t *testing.T) {
+	upstreams := startUpstreams(t, standin.UpstreamConfig{})
+	g := startGates(t, "vm-1", upstreams)
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	g.Acquire(ctx, "orders", func(context.Context, bool) ([]*wire.InFlight, error) {
+		return []*wire.InFlight{{Upstream: upstreams[0].Address(), Count: 1}, {Upstream: upstreams[1].Address(), Count: 1}}, nil
+	})
+	if !g.lookup("orders").awaitAcquired(ctx) {
+		t.Fatal("the node is not the gate")
+	}
+	g.StepDown("orders")
+	g.Acquire(ctx, "orders", nil)
+	if reply := serveRequest(g, "1"); reply.GetRun() != wire.RunStatus_RUN_STATUS_RAN {
+		t.Errorf("in the next acquisition: got %v, want an answer", reply)
+	}
+}
--- a/internal/gate/gates.go
+++ b/internal/gate/gates.go
@@ -126,15 +126,15 @@
 	return services
 }
 
-// ReleasePredecessor asks the previous gate of a service to release it. It
-// returns the requests that the previous gate still has in flight, or an error
-// if that gate can't be reached.
-type ReleasePredecessor func(ctx context.Context) ([]*wire.InFlight, error)
+// AskPredecessor returns the requests that the previous gate of a service still has
+// in flight, or an error if that gate can't be reached. With release, it first asks
+// that gate to release the service.
+type AskPredecessor func(ctx context.Context, release bool) ([]*wire.InFlight, error)
 
 // Acquire makes the node the gate of a service. Requests that the predecessor
 // still has in flight count against the slots. predecessor is nil if there is no
 // previous gate.
-func (g *Gates) Acquire(ctx context.Context, name string, predecessor ReleasePredecessor) {
+func (g *Gates) Acquire(ctx context.Context, name string, predecessor AskPredecessor) {
 	s := g.lookup(name)
 	if s == nil {
 		return
@@ -161,6 +161,11 @@
 // still in flight at its upstreams.
 func (g *Gates) Release(name string) []*wire.InFlight {
 	g.StepDown(name)
+	return g.InFlight(name)
+}
+
+// InFlight returns the requests in flight at the upstreams of the service.
+func (g *Gates) InFlight(name string) []*wire.InFlight {
 	s := g.lookup(name)
 	if s == nil {
 		return nil
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -165,15 +165,16 @@
 	s.role = acquiring
 	s.acquisition++
 	s.acquired = make(chan struct{})
+	s.clearReserved()
 	return s.acquisition, true
 }
 
 // loop completes an acquisition: it polls the upstreams, asks the predecessor to
 // release the service and makes the node the gate. It then keeps the slots that
 // the predecessor still uses reserved until they are free.
-func (s *service) loop(ctx context.Context, acquisition uint64, predecessor ReleasePredecessor) {
+func (s *service) loop(ctx context.Context, acquisition uint64, predecessor AskPredecessor) {
 	s.poll(ctx)
-	more := s.reserveForPredecessor(ctx, acquisition, predecessor)
+	more := s.reserveForPredecessor(ctx, acquisition, predecessor, true)
 	s.mu.Lock()
 	if s.role == acquiring && s.acquisition == acquisition {
 		s.role = active
@@ -184,28 +185,35 @@
 	s.mu.Unlock()
 	for more && ctx.Err() == nil {
 		time.Sleep(handoverInterval)
-		more = s.reserveForPredecessor(ctx, acquisition, predecessor)
+		more = s.reserveForPredecessor(ctx, acquisition, predecessor, false)
 	}
 }
 
+// isCurrent reports whether an acquisition was neither broken off nor followed by a
+// step down. The caller holds s.mu.
+func (s *service) isCurrent(acquisition uint64) bool {
+	return s.role != inactive && s.acquisition == acquisition
+}
+
 // reserveForPredecessor reserves the slots of the requests that the predecessor
 // still has in flight. It reports whether to call it again, because there are such
-// requests and the node is still the gate.
-func (s *service) reserveForPredecessor(ctx context.Context, acquisition uint64, predecessor ReleasePredecessor) bool {
-	if predecessor == nil {
+// requests and the acquisition is still current.
+func (s *service) reserveForPredecessor(ctx context.Context, acquisition uint64, predecessor AskPredecessor, release bool) bool {
+	s.mu.Lock()
+	current := s.isCurrent(acquisition)
+	s.mu.Unlock()
+	if predecessor == nil || !current {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(ctx, handoverTimeout)
 	defer cancel()
-	inFlight, err := predecessor(ctx)
+	inFlight, err := predecessor(ctx, release)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.acquisition != acquisition {
+	if !s.isCurrent(acquisition) {
 		return false
 	}
-	for position := range s.upstreams.Len() {
-		s.upstreams.Reserve(position, 0)
-	}
+	s.clearReserved()
 	if err != nil {
 		// The predecessor can't be reached and is taken to have ended, together
 		// with its requests.
@@ -218,7 +226,15 @@
 		}
 	}
 	s.dispatch(time.Now())
-	return len(inFlight) > 0 && s.role == active
+	return len(inFlight) > 0
+}
+
+// clearReserved frees the slots that are reserved for a predecessor. The caller holds
+// s.mu.
+func (s *service) clearReserved() {
+	for position := range s.upstreams.Len() {
+		s.upstreams.Reserve(position, 0)
+	}
 }
 
 // stepDown makes the node stop being the gate and refuses all queued
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -284,9 +284,9 @@
 	c.node.gates.Acquire(ctx, service, c.predecessor(service, before))
 }
 
-// predecessor returns a function that asks the previous gate of a service to
-// release it; nil if there is no live one.
-func (c *control) predecessor(service string, before *assignment.Table) gate.ReleasePredecessor {
+// predecessor returns a function that asks the previous gate of a service; nil if
+// there is no live one.
+func (c *control) predecessor(service string, before *assignment.Table) gate.AskPredecessor {
 	previous := before.Gate(service)
 	if previous == "" {
 		// A new node does not know the previous gate: it is the member that would
@@ -297,8 +297,8 @@
 	if !found || previous == c.node.options.VM || m.State == member.Dead {
 		return nil
 	}
-	return func(ctx context.Context) ([]*wire.InFlight, error) {
-		call := &wire.Call{Body: &wire.Call_Release{Release: &wire.Release{Service: service}}}
+	return func(ctx context.Context, release bool) ([]*wire.InFlight, error) {
+		call := &wire.Call{Body: &wire.Call_Release{Release: &wire.Release{Service: service, OnlyReport: !release}}}
 		reply, err := c.node.network.CallUnary(ctx, m.VM, m.PeerAddress, call)
 		if err != nil {
 			return nil, err
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -28,8 +28,7 @@
 		forwarded := n.entry.Forwarded(ctx, body.Forward)
 		reply(send, &wire.Reply{Body: &wire.Reply_Forwarded{Forwarded: forwarded}})
 	case *wire.Call_Release:
-		released := &wire.Released{InFlight: n.gates.Release(body.Release.GetService())}
-		reply(send, &wire.Reply{Body: &wire.Reply_Released{Released: released}})
+		reply(send, &wire.Reply{Body: &wire.Reply_Released{Released: n.release(body.Release)}})
 	}
 }
 
@@ -39,6 +38,14 @@
 	_ = send(message)
 }
 
+// release releases a service to its next gate, or only reports the requests in flight.
+func (n *Node) release(message *wire.Release) *wire.Released {
+	if message.GetOnlyReport() {
+		return &wire.Released{InFlight: n.gates.InFlight(message.GetService())}
+	}
+	return &wire.Released{InFlight: n.gates.Release(message.GetService())}
+}
+
 // handleBatch serves a batch from another node. If the batch names a lost gate that
 // this node can reach, this node relays the batch to that gate rather than serve it
 // as the standby.
