relay: the time reserved for a late wakeup is kept until the answer is sent

Cause, from a log of each wakeup in failed runs (scratch copy): the forwarder asked to be woken 15 ms before the last moment, was woken in time, recorded that, expected less delay and put the answer off; and so on, six or seven times within 13 ms, until nothing was left for what was really late, the arrival of the request by 13 to 17 ms or the last wakeup by 13 ms. Besides, a node that had seen no wakeup reserved nothing.

Change: within a request the answer is only brought forward. A new node expects a deviation of 10 ms, which each wakeup seen replaces by a quarter.

--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -89,6 +89,7 @@
 		requiredShards: 1,
 		sharded:        len(matched.Shards) > 0,
 	}
+	p.answerBy = p.latestAnswer
 	p.expectWakeup(expected.wakeup)
 	p.retryAfter = p.answerBy.Sub(p.hedgeAt)
 	if matched.Idempotent {
@@ -100,9 +101,11 @@
 	return p
 }
 
-// expectWakeup sets the expected delay of wakeups.
+// expectWakeup brings answerBy forward to allow for the expected delay of wakeups. It
+// never puts it off: the delay that is expected falls with each wakeup in time, and a
+// forwarder would ask for one more each time until nothing was left for a late one.
 func (p *plan) expectWakeup(delay time.Duration) {
-	p.answerBy = p.latestAnswer.Add(-min(delay, p.maxWakeup))
+	p.answerBy = minTime(p.answerBy, p.latestAnswer.Add(-min(delay, p.maxWakeup)))
 }
 
 // startHedgeRound reports whether a hedge round starts now. If so, it schedules the
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -104,6 +104,7 @@
 		Metrics:          newMetrics(),
 		hedgeDelays:      newHedgeDelays(),
 		deadlineTrackers: newDeadlineTrackers(),
+		wakeupDelay:      newWakeupDelay(),
 	}
 	r.routingState.Store(&routingState{})
 	return r
--- a/internal/relay/wakeupdelay.go
+++ b/internal/relay/wakeupdelay.go
@@ -11,6 +11,9 @@
 	wakeupDeviationWeight = 1.0 / 4
 	// wakeupDeviations is how many mean deviations the estimate lies above the mean.
 	wakeupDeviations = 2
+	// firstDeviation is the deviation that is expected of a node that has seen no
+	// wakeup. It loses its weight with each wakeup seen.
+	firstDeviation = 10 * time.Millisecond
 )
 
 // wakeupDelay estimates how late a forwarder runs after the time it asked to be
@@ -18,25 +21,24 @@
 // is safe for concurrent use.
 type wakeupDelay struct {
 	mu              sync.Mutex
-	known           bool
 	mean, deviation time.Duration
 }
 
+func newWakeupDelay() wakeupDelay {
+	return wakeupDelay{deviation: firstDeviation}
+}
+
 // record adds one delay; early wakeups count as 0.
 func (d *wakeupDelay) record(delay time.Duration) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	delay = max(delay, 0)
-	if !d.known {
-		d.known, d.mean, d.deviation = true, delay, delay/2
-		return
-	}
 	difference := delay - d.mean
 	d.mean += time.Duration(wakeupMeanWeight * float64(difference))
 	d.deviation += time.Duration(wakeupDeviationWeight * float64(difference.Abs()-d.deviation))
 }
 
-// estimate returns a delay that few wakeups exceed; 0 while none is known.
+// estimate returns a delay that few wakeups exceed.
 func (d *wakeupDelay) estimate() time.Duration {
 	d.mu.Lock()
 	defer d.mu.Unlock()
