gate: a wait for an acquisition ends when it is broken off

Found while reading for TestGracefulStop. Who asked a node for reports of a service that it was taking over waited the whole time allowed (500 ms of a query's) if the node stepped down meanwhile: the channel that tells of the end of the acquisition was closed only on success.

Change: it is closed on a step down too, and named acquisitionEnded.

Test: TestWaitEndsWithBrokenOffAcquisition waited its whole 5 s before, now returns at the step down.

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -312,3 +312,20 @@
 		t.Errorf("in the next acquisition: got %v, want an answer", reply)
 	}
 }
+
+// TestWaitEndsWithBrokenOffAcquisition: who waits for an acquisition that a step down
+// breaks off is told at once that the node is not the gate.
+func TestWaitEndsWithBrokenOffAcquisition(t *testing.T) {
+	upstreams := startUpstreams(t, standin.UpstreamConfig{})
+	g := startGates(t, "vm-1", upstreams)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	g.Acquire(ctx, "orders", blockedPredecessor)
+	described := make(chan []*wire.Report)
+	go func() { described <- g.Describe(ctx, []string{"orders"}) }()
+	time.Sleep(20 * time.Millisecond)
+	g.StepDown("orders")
+	if reports := <-described; len(reports) > 0 || ctx.Err() != nil {
+		t.Errorf("got %v, the context's error is %v", reports, ctx.Err())
+	}
+}
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -54,9 +54,9 @@
 	gates      *Gates
 	definition document.Service
 	client     *http.Client
-	// acquired is closed when the node has become the gate. It stays open if the
-	// node steps down before that. Each acquisition makes a new channel.
-	acquired chan struct{}
+	// acquisitionEnded is closed when the node has become the gate or has stepped down
+	// before that. Each acquisition makes a new channel.
+	acquisitionEnded chan struct{}
 
 	mu   sync.Mutex
 	role role
@@ -104,7 +104,6 @@
 			ReadBufferSize:      4 << 10,
 			WriteBufferSize:     4 << 10,
 		}},
-		acquired:          make(chan struct{}),
 		upstreams:         replica.NewSet(definition.Upstreams, slots),
 		hedgeDelays:       replica.NewHedgeDelayEstimator(),
 		budgets:           map[string]*budgets{},
@@ -164,7 +163,7 @@
 	}
 	s.role = acquiring
 	s.acquisition++
-	s.acquired = make(chan struct{})
+	s.acquisitionEnded = make(chan struct{})
 	s.clearReserved()
 	return s.acquisition, true
 }
@@ -178,7 +177,7 @@
 	s.mu.Lock()
 	if s.role == acquiring && s.acquisition == acquisition {
 		s.role = active
-		close(s.acquired)
+		close(s.acquisitionEnded)
 		s.rebuildReport()
 		s.dispatch(time.Now())
 	}
@@ -245,6 +244,9 @@
 	if s.role == inactive {
 		return false
 	}
+	if s.role == acquiring {
+		close(s.acquisitionEnded)
+	}
 	s.role = inactive
 	for {
 		item, ok := s.queue.Pop()
@@ -284,13 +286,13 @@
 // is the gate.
 func (s *service) awaitAcquired(ctx context.Context) bool {
 	s.mu.Lock()
-	current, acquired := s.role, s.acquired
+	current, ended := s.role, s.acquisitionEnded
 	s.mu.Unlock()
 	if current != acquiring {
 		return current == active
 	}
 	select {
-	case <-acquired:
+	case <-ended:
 		return s.currentRole() == active
 	case <-ctx.Done():
 		return false
