load: a run that is shorter than its plan reports the goodput of what it played

With -seconds, the goodput of a phase was its answers over the whole length of the phase, also over the part after the end of the run.

Change: only the part within the run counts.

--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -90,13 +90,18 @@
 	reportRow.P99 = percentileMillis(c.latencies, 99)
 	reportRow.P999 = percentileMillis(c.latencies, 99.9)
 	reportRow.RefusalP50 = percentileMillis(c.refusals, 50)
-	reportRow.Goodput = float64(reportRow.Answered) / (phase.To - phase.From).Seconds() / r.KindCapacity[kind.Name]
+	reportRow.Goodput = float64(reportRow.Answered) / r.played(phase).Seconds() / r.KindCapacity[kind.Name]
 	if reportRow.Answered+reportRow.Late > 0 {
 		reportRow.Coverage = c.coverage / float64(reportRow.Answered+reportRow.Late)
 	}
 	return *reportRow
 }
 
+// played returns how long the phase lasted: the run may have ended before it did.
+func (r *Report) played(phase Phase) time.Duration {
+	return min(phase.To, r.Config.Plan.Duration) - phase.From
+}
+
 func (c *rowCollector) add(sample Sample, kind document.Kind, executed int) {
 	reportRow := &c.reportRow
 	reportRow.Offered++
