relay: a request overtaken in the queue is refused once its turn would come too late

Change: a place taken before others checks the turns of those behind it, and refuses at once, with the time to return, whom it makes too late.

Test: TestOvertakenRequestIsRefusedAtOnce, the request still waited before, is refused now. Only requests with every replica limited are concerned.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -30,13 +30,17 @@
 	shortened bool
 }
 
-// forwarderEvent reports to a forwarder either that an attempt ended or that a
-// queued shard has been granted a replica.
+// forwarderEvent reports to a forwarder that an attempt ended, or that a queued shard
+// has been granted a replica or refused.
 type forwarderEvent struct {
-	// attempt is the attempt that ended; nil if granted is set.
+	// attempt is the attempt that ended; nil if granted or refused is set.
 	attempt *attempt
 	// granted is a replica reserved for a shard that was waiting in the queue.
 	granted *upstreamReplica
+	// refused is why a shard no longer waits in the queue. A caller who returns after
+	// retryAfter may find a place.
+	refused    Reason
+	retryAfter time.Duration
 	// shard is the index in the forwarder's shards.
 	shard int
 	run   RunStatus
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -155,11 +155,16 @@
 	case got.queued:
 		s.waiting, s.reason = true, ReasonNoCapacity
 	default:
-		f.retryAfter = max(f.retryAfter, got.retryAfter)
-		f.settle(s, nil, got.refused)
+		f.settleRefused(s, got.refused, got.retryAfter)
 	}
 }
 
+// settleRefused settles a shard that got neither a replica nor a place in the queue.
+func (f *forwarder) settleRefused(s *shardState, refused Reason, retryAfter time.Duration) {
+	f.retryAfter = max(f.retryAfter, retryAfter)
+	f.settle(s, nil, refused)
+}
+
 // firstAttempt is the cause of the first attempt of a shard in metrics; the others
 // are those of a budget.Cause.
 const firstAttempt = "first"
@@ -185,7 +190,7 @@
 }
 
 // handleEvent processes the end of an attempt, with a retry where allowed, or the
-// grant of a replica.
+// grant or refusal of a replica.
 func (f *forwarder) handleEvent(e forwarderEvent) {
 	s := &f.shards[e.shard]
 	if e.granted != nil {
@@ -193,6 +198,11 @@
 		f.startAttempt(e.shard, e.granted, firstAttempt)
 		return
 	}
+	if e.refused != "" {
+		s.waiting = false
+		f.settleRefused(s, e.refused, e.retryAfter)
+		return
+	}
 	s.removeAttempt(e.attempt)
 	if s.settled {
 		return
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -101,11 +101,12 @@
 		return reservation{refused: ReasonNoUpstream}
 	}
 	// Others may have taken the turns that were left when availability was asked for.
-	rateWait, left := s.rateWait(now, w.forwarder.request.Route.Rank), w.grantBy.Sub(now)
-	if rateWait > 0 && rateWait >= left {
-		return reservation{refused: ReasonRateLimited, retryAfter: rateWait - left}
+	position := s.countWaiters(w.forwarder.request.Route.Rank)
+	if late := s.lateBy(now, w, position); late > 0 {
+		return reservation{refused: ReasonRateLimited, retryAfter: late}
 	}
-	s.enqueue(w)
+	s.waiting = slices.Insert(s.waiting, position, w)
+	s.refuseOvertaken(now, position+1)
 	s.scheduleGrant(now)
 	return reservation{queued: true}
 }
@@ -128,10 +129,29 @@
 	}
 }
 
-// enqueue inserts a waiter after those of the same or a more urgent rank.
-func (s *service) enqueue(w waiter) {
-	position := s.countWaiters(w.forwarder.request.Route.Rank)
-	s.waiting = slices.Insert(s.waiting, position, w)
+// lateBy returns how long after its grantBy the rate limits let a waiter at the position
+// start; 0 if they let it start in time.
+func (s *service) lateBy(now time.Time, w waiter, position int) time.Duration {
+	rateWait := s.replicaGroup.RateWait(now, position)
+	if rateWait == 0 {
+		return 0
+	}
+	return max(rateWait-w.grantBy.Sub(now), 0)
+}
+
+// refuseOvertaken refuses the waiters from the position on whose turn would come too
+// late, now that a more urgent one goes before them.
+func (s *service) refuseOvertaken(now time.Time, position int) {
+	for position < len(s.waiting) {
+		w := s.waiting[position]
+		late := s.lateBy(now, w, position)
+		if late == 0 {
+			position++
+			continue
+		}
+		s.waiting = slices.Delete(s.waiting, position, position+1)
+		w.forwarder.events <- forwarderEvent{shard: w.shard, refused: ReasonRateLimited, retryAfter: late}
+	}
 }
 
 // removeWaiters removes all waiters of a forwarder from the queue.
@@ -266,16 +286,10 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	a.usable, a.untilUsable = s.replicaGroup.CountUsable(now)
-	a.rateWait = s.rateWait(now, rank)
+	a.rateWait = s.replicaGroup.RateWait(now, s.countWaiters(rank))
 	return a
 }
 
-// rateWait returns how long the rate limits of the usable replicas keep one more
-// request of the rank waiting.
-func (s *service) rateWait(now time.Time, rank int) time.Duration {
-	return s.replicaGroup.RateWait(now, s.countWaiters(rank))
-}
-
 // countWaiters returns how many waiters go before a new one of the rank.
 func (s *service) countWaiters(rank int) int {
 	count := len(s.waiting)
--- a/internal/relay/service_test.go
+++ b/internal/relay/service_test.go
@@ -43,6 +43,14 @@
 	s.service.recordOutcome(s.now, &attempt{upstreamReplica: slot}, replica.Succeeded, forwarderEvent{elapsed: elapsed})
 }
 
+// limitRate lets the replica name a rate limit of one request per interval, in a reply
+// to an attempt that it ends.
+func (s *singleSlotService) limitRate(slot *upstreamReplica, interval time.Duration) {
+	limit := replica.NewRateLimit(float64(time.Second) / float64(interval))
+	reply := &Reply{Valid: true, TellsRateLimit: true, RateLimit: limit}
+	s.service.recordOutcome(s.now, &attempt{request: &Request{}, upstreamReplica: slot}, replica.Succeeded, forwarderEvent{reply: reply})
+}
+
 func granted(f *forwarder) bool {
 	select {
 	case e := <-f.events:
@@ -121,8 +129,7 @@
 	const interval = 250 * time.Millisecond
 	s := newSingleSlotService()
 	_, slot := s.sendRequest(1, time.Second)
-	reply := &Reply{Valid: true, TellsRateLimit: true, RateLimit: replica.NewRateLimit(float64(time.Second / interval))}
-	s.service.recordOutcome(s.now, &attempt{request: &Request{}, upstreamReplica: slot}, replica.Succeeded, forwarderEvent{reply: reply})
+	s.limitRate(slot, interval)
 	first := &forwarder{request: &Request{Route: &route.Route{}}, events: make(chan forwarderEvent, 1)}
 	second := &forwarder{request: first.request, events: make(chan forwarderEvent, 1)}
 	firstTurn := s.service.availability(s.now, 0).rateWait
@@ -135,3 +142,39 @@
 		t.Errorf("the second request got %+v, want a refusal", got)
 	}
 }
+
+// TestOvertakenRequestIsRefusedAtOnce: a request that a more urgent one overtakes in the
+// queue, so that its turn within a rate limit would come too late, doesn't wait for that.
+func TestOvertakenRequestIsRefusedAtOnce(t *testing.T) {
+	const interval = 250 * time.Millisecond
+	s := newSingleSlotService()
+	_, slot := s.sendRequest(1, time.Second)
+	s.limitRate(slot, interval)
+	grantBy := s.now.Add(s.service.availability(s.now, 0).rateWait + interval/2)
+	low := &forwarder{request: &Request{Route: &route.Route{Rank: 2}}, events: make(chan forwarderEvent, 1), pendingShards: 1}
+	low.plan.requiredShards = 1
+	low.shards = []shardState{{service: s.service, waiting: true, reason: ReasonNoCapacity}}
+	urgent := &forwarder{request: &Request{Route: &route.Route{}}, events: make(chan forwarderEvent, 1)}
+	for _, f := range []*forwarder{low, urgent} {
+		if got := s.service.reserveOrEnqueue(s.now, waiter{forwarder: f, grantBy: grantBy}); !got.queued {
+			t.Fatalf("got %+v, want a place in the queue", got)
+		}
+	}
+	select {
+	case e := <-low.events:
+		low.handleEvent(e)
+	default:
+		t.Fatal("the overtaken request still waits")
+	}
+	if !low.isComplete(s.now) {
+		t.Fatal("the overtaken request is not answered")
+	}
+	if answer := low.buildAnswer(s.now); answer.Outcome != Refused || answer.Reason != ReasonRateLimited || answer.RetryAfter < interval/2 {
+		t.Errorf("got %+v", answer)
+	}
+	s.service.mu.Lock()
+	defer s.service.mu.Unlock()
+	if waiting := len(s.service.waiting); waiting != 1 {
+		t.Errorf("%d requests wait, want the urgent one", waiting)
+	}
+}
