--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -230,6 +230,19 @@
 	return leaving
 }
 
+// StartedLeaving returns the IDs of the given registrations that are leaving, of
+// upstreams that are known and not known to be leaving.
+func (r *Registry) StartedLeaving(registrations []Registration) []string {
+	var ids []string
+	for _, registration := range registrations {
+		_, known := r.current[registration.ID]
+		if registration.Leaving && known && !r.IsLeaving(registration.ID) {
+			ids = append(ids, registration.ID)
+		}
+	}
+	return ids
+}
+
 // reportedLeaving reports whether a peer's report that an upstream is leaving applies
 // to a registration.
 func (r *Registry) reportedLeaving(registration Registration) bool {
