platform client: a status without meaning for a call leaves its outcome unknown

Statuses 404 and 412 passed for every call, so a write answered by 404, as from a wrong path, passed for a success with version 0: a claim or a promotion would have counted as stored. A read answered by 404 returned the text of the error as the object's value, one by 412 an object.

Change: 404 counts for reads alone, 412 for writes, and a success must name a version. All else is ErrUnavailable, which callers take for an unknown outcome.

Test: TestUnexpectedStatusIsNoSuccess, five of six cases failed before.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -123,8 +123,13 @@
 // readObject sends a GET request and returns the object in its response.
 func (c *Client) readObject(ctx context.Context, path string, timeout time.Duration) (object Object, err error) {
 	response, err := c.call(ctx, http.MethodGet, path, nil, nil, timeout)
-	if err != nil {
+	switch {
+	case err != nil:
 		return Object{}, err
+	case response.status == http.StatusNotFound:
+		return Object{}, nil
+	case response.status != http.StatusOK || response.version == 0:
+		return Object{}, response.unexpected()
 	}
 	return Object{Version: response.version, Value: response.body}, nil
 }
@@ -136,11 +141,13 @@
 	defer func() { util.Annotate(&err, "put object %s", key) }()
 	header := http.Header{IfVersionHeader: {strconv.FormatUint(ifVersion, 10)}}
 	response, err := c.call(ctx, http.MethodPut, ObjectPath+key, header, value, callTimeout)
-	if err != nil {
+	switch {
+	case err != nil:
 		return 0, err
-	}
-	if response.status == http.StatusPreconditionFailed {
+	case response.status == http.StatusPreconditionFailed:
 		return response.version, ErrConflict
+	case response.status != http.StatusOK || response.version == 0:
+		return 0, response.unexpected()
 	}
 	return response.version, nil
 }
@@ -150,8 +157,11 @@
 func (c *Client) ListVMs(ctx context.Context) (vms []VM, err error) {
 	defer util.Annotate(&err, "list VMs")
 	response, err := c.call(ctx, http.MethodGet, VMsPath, nil, nil, callTimeout)
-	if err != nil {
+	switch {
+	case err != nil:
 		return nil, err
+	case response.status != http.StatusOK:
+		return nil, response.unexpected()
 	}
 	err = json.Unmarshal(response.body, &vms)
 	return vms, errors.WithStack(err)
@@ -164,6 +174,12 @@
 	body    []byte
 }
 
+// unexpected returns the error of a call that the response has no meaning for: its
+// outcome is not known.
+func (r apiResponse) unexpected() error {
+	return errors.WithMessagef(ErrUnavailable, "unexpected response with status %d and version %d", r.status, r.version)
+}
+
 // call sends a request within the rate limit and the timeout. Every error is
 // ErrUnavailable.
 func (c *Client) call(ctx context.Context, method, path string, header http.Header, body []byte, timeout time.Duration) (r apiResponse, err error) {
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,51 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+)
+
+// newTestClient returns a client of a platform that answers every call with a status, a
+// version and a body.
+func newTestClient(t *testing.T, status int, version, body string) *Client {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if version != "" {
+			w.Header().Set(VersionHeader, version)
+		}
+		w.WriteHeader(status)
+		_, _ = w.Write([]byte(body))
+	}))
+	t.Cleanup(server.Close)
+	return NewClient(Config{URL: server.URL})
+}
+
+// TestUnexpectedStatusIsNoSuccess: a status that a call has no meaning for leaves its
+// outcome unknown.
+func TestUnexpectedStatusIsNoSuccess(t *testing.T) {
+	ctx := context.Background()
+	c := newTestClient(t, http.StatusNotFound, "", "no such path")
+	if _, err := c.Put(ctx, "k", []byte("v"), 0); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("put with status 404: %v", err)
+	}
+	if _, err := c.ListVMs(ctx); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("list with status 404: %v", err)
+	}
+	if object, err := c.Get(ctx, "k"); err != nil || object.Version != 0 || len(object.Value) > 0 {
+		t.Errorf("get with status 404: %+v, %v", object, err)
+	}
+	c = newTestClient(t, http.StatusPreconditionFailed, "7", "")
+	if version, err := c.Put(ctx, "k", []byte("v"), 6); !errors.Is(err, ErrConflict) || version != 7 {
+		t.Errorf("put with status 412: version %d, %v", version, err)
+	}
+	if _, err := c.Get(ctx, "k"); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("get with status 412: %v", err)
+	}
+	c = newTestClient(t, http.StatusOK, "", "v")
+	if _, err := c.Put(ctx, "k", []byte("v"), 6); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("put without a version in the response: %v", err)
+	}
+}
