platform client: an object too long is an error, not its beginning

A response was read up to one byte more than a value may have, and the beginning of a longer one passed for the object.

Change: a longer response leaves the outcome unknown.

Test: TestOversizedValueIsNotCutOff, 1,048,577 bytes and no error before.

--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -219,6 +219,9 @@
 	if err != nil {
 		return apiResponse{}, errors.WithStack(err)
 	}
+	if len(value) > MaxValueBytes {
+		return apiResponse{}, errors.Errorf("response of more than %d bytes", MaxValueBytes)
+	}
 	version, _ := strconv.ParseUint(response.Header.Get(VersionHeader), 10, 64)
 	switch response.StatusCode {
 	case http.StatusOK, http.StatusNotFound, http.StatusPreconditionFailed:
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 )
 
@@ -49,3 +50,16 @@
 		t.Errorf("put without a version in the response: %v", err)
 	}
 }
+
+// TestOversizedValueIsNotCutOff: a value that is longer than any that may be stored is an
+// error; its beginning is no value.
+func TestOversizedValueIsNotCutOff(t *testing.T) {
+	c := newTestClient(t, http.StatusOK, "1", strings.Repeat("v", MaxValueBytes+1))
+	if object, err := c.Get(context.Background(), "k"); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("got %d bytes, %v", len(object.Value), err)
+	}
+	c = newTestClient(t, http.StatusOK, "1", strings.Repeat("v", MaxValueBytes))
+	if object, err := c.Get(context.Background(), "k"); err != nil || len(object.Value) != MaxValueBytes {
+		t.Errorf("the longest value: got %d bytes, %v", len(object.Value), err)
+	}
+}
