gate: a hedge that doesn't start is refunded to the budget it was taken from

A hedge against a silent upstream is taken from the retry budget, but its token went back to the hedge budget: each one that found no free slot moved a token from retries to hedges, so that a service in trouble ran out of retries while it had hedges too many. A hedge that was granted a slot and not started returned nothing.

Change: a hedge knows the budget it was taken from until it starts, and returns it there.

--- a/internal/gate/hedge.go
+++ b/internal/gate/hedge.go
@@ -23,6 +23,9 @@
 	silentAfter time.Duration
 	// delay is the time after which the first attempt counts as a straggler.
 	delay time.Duration
+	// spent is the budget that the hedge was taken from; nil if it was taken from none
+	// or has started.
+	spent *replica.Budget
 }
 
 // Timing of hedges.
@@ -89,13 +92,18 @@
 // caller holds s.mu.
 func (h *hedge) spendBudget() bool {
 	s, r := h.service, h.subRequest
-	if time.Since(h.startedAt) >= h.silentAfter {
-		return s.budgetsOf(r.kind).retry.Spend()
+	spent := &s.budgetsOf(r.kind).retry
+	if time.Since(h.startedAt) < h.silentAfter {
+		if head, waiting := s.queue.Peek(); waiting && head.Rank <= r.kind.Rank {
+			return false
+		}
+		spent = &s.budgetsOf(r.kind).hedge
 	}
-	if head, waiting := s.queue.Peek(); waiting && head.Rank <= r.kind.Rank {
+	if !spent.Spend() {
 		return false
 	}
-	return s.budgetsOf(r.kind).hedge.Spend()
+	h.spent = spent
+	return true
 }
 
 // dispatchHedges grants free slots to the hedges for which no more urgent
@@ -118,7 +126,7 @@
 // start starts the second attempt in the granted slot.
 func (h *hedge) start(ctx context.Context, g slotGrant) {
 	s, r := h.service, h.subRequest
-	r.hedged = true
+	r.hedged, h.spent = true, nil
 	s.gates.updateMetrics(func(m *Metrics) { m.Hedges++ })
 	s.gates.config.Recorder.Record(timeline.Event{
 		Name:      timeline.HedgeStarted,
@@ -129,17 +137,18 @@
 	s.startAttempt(ctx, r, g.position)
 }
 
-// stop cancels the hedge if it has not started. If it is still waiting, it is
-// removed and refunded to the hedge budget. If it was granted a slot that has not
-// been used yet, the slot is freed.
+// stop cancels the hedge if it has not started, and refunds it to its budget. If it is
+// still waiting, it is removed; if it was granted a slot that has not been used yet,
+// the slot is freed.
 func (h *hedge) stop() {
 	h.timer.Stop()
 	s := h.service
 	s.mu.Lock()
-	waiting := slices.Index(s.waitingHedges, h.subRequest)
-	if waiting >= 0 {
+	if waiting := slices.Index(s.waitingHedges, h.subRequest); waiting >= 0 {
 		s.waitingHedges = slices.Delete(s.waitingHedges, waiting, waiting+1)
-		s.budgetsOf(h.subRequest.kind).hedge.Refund()
+	}
+	if h.spent != nil {
+		h.spent.Refund()
 	}
 	s.mu.Unlock()
 	select {
