A gate that released a service by a late message acquires it again

Found with the model of hand-overs: a node asks its predecessor to release a service some time after it saw itself assigned. If the assignment goes back meanwhile, the message meets the node that is the gate again. It stepped down, and as a node acquired services only when the members changed, the service had no gate until then: its queries were sent again until their deadline. Any peer's stray message did the same.

Change: a node looks four times a second at the services that it is the gate of by its own assignment; one that stays released for a second it acquires again. So that no two nodes serve it at once, it asks the member that the service was released to, which Release now names (new field, older nodes ignore it); the delay lets assignments that differ agree first.

Test: TestReleasedGateIsTakenAgain sends a stray Release for each service of a node.

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -26,11 +26,9 @@
 	testConnections = 12
 )
 
-// startGates returns the gates of a node whose document has one pool with two
-// upstreams.
-func startGates(t *testing.T, vm string, upstreams []*standin.Upstream) *Gates {
-	t.Helper()
-	text := fmt.Sprintf(`name = "test"
+// testDocument is a document with one pool of two upstreams; the verbs stand for their
+// slots, connections and addresses.
+const testDocument = `name = "test"
 [[rank]]
 name = "urgent"
 [[pool]]
@@ -44,7 +42,13 @@
 pool = "orders"
 deadline = "5s"
 hedge = "0%%"
-`, testSlots, testConnections, upstreams[0].Address(), upstreams[1].Address())
+`
+
+// startGates returns the gates of a node whose document has one pool with two
+// upstreams.
+func startGates(t *testing.T, vm string, upstreams []*standin.Upstream) *Gates {
+	t.Helper()
+	text := fmt.Sprintf(testDocument, testSlots, testConnections, upstreams[0].Address(), upstreams[1].Address())
 	parsed, err := document.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
@@ -113,7 +117,7 @@
 		old, fresh := gates[i%2], gates[(i+1)%2]
 		fresh.Acquire(ctx, "orders", func(_ context.Context, release bool) ([]*wire.InFlight, error) {
 			if release {
-				return old.Release("orders"), nil
+				return old.Release("orders", ""), nil
 			}
 			return old.InFlight("orders"), nil
 		})
--- a/internal/gate/gates.go
+++ b/internal/gate/gates.go
@@ -157,11 +157,28 @@
 	g.config.Recorder.Record(timeline.Event{Name: timeline.GateReleased, Service: name})
 }
 
-// Release steps down as the gate of the service and returns the requests that are
-// still in flight at its upstreams.
-func (g *Gates) Release(name string) []*wire.InFlight {
+// Release steps down as the gate of the service, which the member "to" takes over, and
+// returns the requests that are still in flight at its upstreams.
+func (g *Gates) Release(name, to string) []*wire.InFlight {
 	g.StepDown(name)
-	return g.InFlight(name)
+	s := g.lookup(name)
+	if s == nil {
+		return nil
+	}
+	s.recordRelease(to)
+	return s.inFlight()
+}
+
+// ReleasedTo returns the member to which the node released the service last; empty if
+// it is not known.
+func (g *Gates) ReleasedTo(name string) string {
+	s := g.lookup(name)
+	if s == nil {
+		return ""
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.releasedTo
 }
 
 // InFlight returns the requests in flight at the upstreams of the service.
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -63,6 +63,8 @@
 	// acquisition numbers the acquisitions, so that one that was broken off by a step
 	// down does not complete the next one.
 	acquisition uint64
+	// releasedTo is the member that asked this node last to release the service.
+	releasedTo string
 	// floors is the minimum share of each rank, most urgent first.
 	floors    []float64
 	upstreams *replica.Set
@@ -257,6 +259,13 @@
 	}
 }
 
+// recordRelease records the member to which the service was released.
+func (s *service) recordRelease(to string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.releasedTo = to
+}
+
 // close steps down and prevents further acquisitions.
 func (s *service) close() {
 	s.stepDown()
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/bronzereach/bronzereach/internal/entry"
-	"github.com/bronzereach/bronzereach/internal/gate"
 	"github.com/bronzereach/bronzereach/internal/promotion"
 	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/internal/util"
@@ -30,9 +29,6 @@
 	// pauseThreshold is the gap between two ticks that means that the process was
 	// suspended, so that its assignment of gates may be out of date.
 	pauseThreshold = 1500 * time.Millisecond
-	// assignmentIntervalFactor is the delay before the next assignment as a
-	// multiple of the time the last one took: 50 limits them to 2% of a core.
-	assignmentIntervalFactor = 50
 	// slowTickGap is the gap between two ticks above which the node counts as slow.
 	slowTickGap = 250 * time.Millisecond
 	// contactWindow is how long after an exchange a peer counts as in contact.
@@ -89,6 +85,10 @@
 	assigned        *assignment.Table
 	// assignedGeneration is the member table's generation at the last assignment.
 	assignedGeneration uint64
+	// releasedSince is when a service was first seen released that this node is the
+	// gate of by its assignment, and nextReview when that is looked at next.
+	releasedSince map[string]time.Time
+	nextReview    time.Time
 	// nextAssignment is the earliest time of the next assignment. It limits the
 	// CPU time spent on assignments in a burst of changes.
 	nextAssignment time.Time
@@ -129,6 +129,7 @@
 		assignmentTrusted: true,
 		started:           now,
 		lastTick:          now,
+		releasedSince:     map[string]time.Time{},
 		lastContact:       map[string]time.Time{},
 		pendingContacts:   util.NewSet[string](),
 		notices:           member.NewGossipQueue[string, *wire.Notice](),
@@ -179,6 +180,7 @@
 	c.runGossip(ctx, now)
 	c.declareReady(now)
 	c.runAssignment(ctx)
+	c.reviewGates(ctx, now)
 	if !now.Before(c.nextGates) {
 		c.nextGates = now.Add(gateInterval)
 		c.node.gates.Tick(ctx, now)
@@ -251,74 +253,6 @@
 	c.recordMemberChanges([]member.Member{c.table.Self()})
 }
 
-// runAssignment recomputes the gate of each service after a change of members or
-// configuration, and takes over or gives up services accordingly.
-func (c *control) runAssignment(ctx context.Context) {
-	if c.document == nil || !c.assignmentTrusted || c.assigned != nil && c.assignedGeneration == c.table.Generation() {
-		return
-	}
-	start := time.Now()
-	if start.Before(c.nextAssignment) {
-		return
-	}
-	c.assignedGeneration = c.table.Generation()
-	before := c.assigned
-	c.assigned = assignment.Compute(c.eligible(), c.services)
-	c.updateWatcherRole()
-	for _, service := range c.document.Services {
-		c.assign(ctx, service.Name, before)
-	}
-	c.nextAssignment = start.Add(assignmentIntervalFactor * time.Since(start))
-}
-
-func (c *control) assign(ctx context.Context, service string, before *assignment.Table) {
-	own := c.node.options.VM
-	if c.node.options.Mode == gate.Direct {
-		c.node.gates.Acquire(ctx, service, nil)
-		return
-	}
-	if c.assigned.Gate(service) != own {
-		c.node.gates.StepDown(service)
-		return
-	}
-	c.node.gates.Acquire(ctx, service, c.predecessor(service, before))
-}
-
-// predecessor returns a function that asks the previous gate of a service; nil if
-// there is no live one.
-func (c *control) predecessor(service string, before *assignment.Table) gate.AskPredecessor {
-	previous := before.Gate(service)
-	if previous == "" {
-		// A new node does not know the previous gate: it is the member that would
-		// be the gate without this node, which is the standby.
-		previous = c.assigned.Standby(service)
-	}
-	m, found := c.table.Get(previous)
-	if !found || previous == c.node.options.VM || m.State == member.Dead {
-		return nil
-	}
-	return func(ctx context.Context, release bool) ([]*wire.InFlight, error) {
-		call := &wire.Call{Body: &wire.Call_Release{Release: &wire.Release{Service: service, OnlyReport: !release}}}
-		reply, err := c.node.network.CallUnary(ctx, m.VM, m.PeerAddress, call)
-		if err != nil {
-			return nil, err
-		}
-		return reply.GetReleased().GetInFlight(), nil
-	}
-}
-
-// eligible returns the names of the members that may be gates.
-func (c *control) eligible() []string {
-	own := c.table.Self()
-	var names []string
-	for _, m := range c.table.Members() {
-		if m.Region == own.Region && (m.State == member.Ready || m.State == member.Suspect) {
-			names = append(names, m.VM)
-		}
-	}
-	return names
-}
-
 // updateConfigConfirmed sets configConfirmedAt to now if the configuration is known
 // to be the newest: within contactWindow, sufficientContacts or half of the other
 // live members have been in contact, and no fetch of a higher version that a peer
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -43,7 +43,7 @@
 	if message.GetOnlyReport() {
 		return &wire.Released{InFlight: n.gates.InFlight(message.GetService())}
 	}
-	return &wire.Released{InFlight: n.gates.Release(message.GetService())}
+	return &wire.Released{InFlight: n.gates.Release(message.GetService(), message.GetTo())}
 }
 
 // handleBatch serves a batch from another node. If the batch names a lost gate that
--- a/internal/proof/failover_test.go
+++ b/internal/proof/failover_test.go
@@ -12,10 +12,16 @@
 	"testing"
 	"time"
 
+	"github.com/go-logr/logr"
+
 	"github.com/bronzereach/bronzereach/internal/node"
+	"github.com/bronzereach/bronzereach/internal/peer"
 	"github.com/bronzereach/bronzereach/internal/platform"
 	"github.com/bronzereach/bronzereach/internal/promotion"
 	"github.com/bronzereach/bronzereach/internal/standin"
+	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/internal/timer"
+	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/answer"
 	"github.com/bronzereach/bronzereach/pkg/caller"
 	"github.com/bronzereach/bronzereach/pkg/document"
@@ -114,6 +120,30 @@
 	}
 }
 
+// TestReleasedGateIsTakenAgain: a node that a late message makes release a service,
+// although it is the service's gate by everybody's view, becomes the gate again.
+func TestReleasedGateIsTakenAgain(t *testing.T) {
+	c := newCluster(t, 2)
+	status, _ := c.status(c.nodes[0])
+	network := peer.NewNetwork(peer.Config{
+		VM: "vm-late", Incarnation: 1, Clock: &timeline.Clock{}, Timers: timer.NewService(), Log: logr.Discard(),
+	})
+	for _, service := range status.Gates {
+		call := &wire.Call{Body: &wire.Call_Release{Release: &wire.Release{Service: service}}}
+		if _, err := network.CallUnary(t.Context(), c.nodes[0].vm, c.nodes[0].advertised, call); err != nil {
+			t.Fatal(err)
+		}
+	}
+	released := time.Now()
+	c.awaitGates(2)
+	checkDuration(t, "taking released services again", time.Since(released), takeoverLimit)
+	a := c.mustSendRequest(c.nodes[1], query.Request{Kind: "search", Query: query.Text("record")})
+	checkAnswer(t, a)
+	if !a.Coverage.Complete {
+		t.Errorf("coverage %+v", a.Coverage.Omitted)
+	}
+}
+
 // TestGracefulStop stops two of three nodes in turn under load: no request may
 // fail or be incomplete.
 func TestGracefulStop(t *testing.T) {
