gate: no hedge starts once the node has released the service

A hedge that waits for a slot when its node steps down was granted one later, by the end of any attempt: the next gate, which had reserved what was in flight at the release, then had one request more at an upstream than it has slots. New requests and retries were refused by the same node already.

Change: hedges too start only at the gate, or at a standby that serves for a lost one.

Tests: TestReleasedGateStartsNoHedge, a request in flight after the step down before, none now.

--- a/internal/gate/hedge.go
+++ b/internal/gate/hedge.go
@@ -110,6 +110,9 @@
 // sub-request is waiting. The caller holds s.mu.
 func (s *service) dispatchHedges(now time.Time) {
 	s.waitingHedges = slices.DeleteFunc(s.waitingHedges, func(r *subRequest) bool {
+		if !s.mayStart(r) {
+			return false
+		}
 		if head, waiting := s.queue.Peek(); waiting && head.Rank < r.kind.Rank {
 			return false
 		}
--- a/internal/gate/hedge_test.go
+++ b/internal/gate/hedge_test.go
@@ -50,3 +50,22 @@
 		})
 	}
 }
+
+// TestReleasedGateStartsNoHedge: a hedge that waits for a slot when the node steps down
+// stays without one, as the next gate counts on what was in flight then.
+func TestReleasedGateStartsNoHedge(t *testing.T) {
+	s := startGates(t, "vm-1", startUpstreams(t, standin.UpstreamConfig{})).lookup("orders")
+	s.role = active
+	kind, _ := s.gates.kind("order")
+	r := &subRequest{batch: &wire.Batch{}, kind: kind, deadline: time.Now().Add(time.Minute), slotGrant: make(chan slotGrant, 1)}
+	s.mu.Lock()
+	s.waitingHedges = append(s.waitingHedges, r)
+	s.mu.Unlock()
+	s.stepDown()
+	s.mu.Lock()
+	s.dispatch(time.Now())
+	s.mu.Unlock()
+	if inFlight := s.inFlight(); len(inFlight) > 0 {
+		t.Errorf("in flight after the step down: %v", inFlight)
+	}
+}
--- a/internal/gate/subrequest.go
+++ b/internal/gate/subrequest.go
@@ -149,12 +149,18 @@
 	return answer.CodeCancelled
 }
 
+// mayStart reports whether the node may start attempts of the sub-request: it is the
+// gate, or a standby that serves in place of a lost one. The caller holds s.mu.
+func (s *service) mayStart(r *subRequest) bool {
+	return s.role != inactive || r.batch.GetLostGate() != ""
+}
+
 // enqueue adds the sub-request to the queue and grants the free slots. Without a
 // lost gate in the batch, it refuses the sub-request if the node is not the gate.
 func (s *service) enqueue(r *subRequest, now time.Time) (item *queue.Item[*subRequest], refused answer.Code) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.role == inactive && r.batch.GetLostGate() == "" {
+	if !s.mayStart(r) {
 		return nil, answer.CodeNotGate
 	}
 	rank := r.kind.Rank
