promotion: a delta that keeps more than there is is refused, whatever its numbers

The bounds of a delta were checked by their sum, which overflows: Prefix and Suffix of the largest number pass and the slice panics, in the control goroutine of a node. Peers state both as 32 bits, so that a 64-bit process can't meet it today; a 32-bit one could.

Tests: TestDeltaOutOfRange panicked before.

--- a/internal/promotion/delta.go
+++ b/internal/promotion/delta.go
@@ -37,7 +37,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if d.Prefix < 0 || d.Suffix < 0 || d.Prefix+d.Suffix > len(old) {
+	if d.Prefix < 0 || d.Suffix < 0 || d.Prefix > len(old) || d.Suffix > len(old)-d.Prefix {
 		return nil, errors.Errorf("the delta keeps %d bytes at the start and %d at the end of an old text of %d bytes", d.Prefix, d.Suffix, len(old))
 	}
 	record.Text = old[:d.Prefix] + d.Middle + old[len(old)-d.Suffix:]
--- a/internal/promotion/delta_test.go
+++ b/internal/promotion/delta_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"flag"
+	"math"
+	"reflect"
 	"testing"
 
 	"pgregory.net/rapid"
@@ -43,3 +45,46 @@
 		}
 	})
 }
+
+// TestDeltaOutOfRange: a delta that keeps more than there is is refused.
+func TestDeltaOutOfRange(t *testing.T) {
+	withoutText, err := Record{PromotionID: "p"}.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, d := range []Delta{
+		{Prefix: math.MaxInt, Suffix: math.MaxInt},
+		{Prefix: 1, Suffix: math.MaxInt},
+		{Prefix: 2, Suffix: 2},
+		{Prefix: -1},
+	} {
+		if _, err := d.Apply(withoutText, "old"); err == nil {
+			t.Errorf("%+v was applied to a text of 3 bytes", d)
+		}
+	}
+}
+
+// FuzzDecodeRecord: no value makes the decoder panic, and what it takes can be encoded
+// again without change.
+func FuzzDecodeRecord(f *testing.F) {
+	value, err := Record{PromotionID: "p", Text: "name = \"x\"", History: []HistoryEntry{{Version: 1}}}.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(value)
+	f.Add(value[:len(value)/2])
+	f.Add([]byte("{}"))
+	f.Fuzz(func(t *testing.T, value []byte) {
+		record, err := DecodeRecord(value)
+		if err != nil {
+			return
+		}
+		encoded, err := record.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if again, err := DecodeRecord(encoded); err != nil || !reflect.DeepEqual(record, again) {
+			t.Fatalf("got %+v, want %+v, error %v", again, record, err)
+		}
+	})
+}
