settings: numbers that are infinite or out of range are refused

Accepted were extraAttemptsPeriod below 20 ns, which divides by zero with the first request and ends the node; memoryMegabytes of 1e300, which became a negative limit that counts for none; inf, which TOML allows, for cores, ratios and shares of documents.

Change: a number must be finite; extraAttemptsPeriod is 100 ms or more, memoryMegabytes 2^30 or less. Each is reported with the key, as all problems of settings are.

--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -145,6 +145,12 @@
 	megabyte            = 1 << 20
 )
 
+// Bounds of settings for a foreign platform.
+const (
+	minBudgetPeriod    = 100 * time.Millisecond
+	maxMemoryMegabytes = 1 << 30
+)
+
 // readForeignOptions reads the table "foreign"; nil if there is none.
 func readForeignOptions(root *document.Table) *ForeignOptions {
 	table := root.Table("foreign")
@@ -152,7 +158,7 @@
 		return nil
 	}
 	defer table.ReportUnknownKeys()
-	return &ForeignOptions{
+	foreign := &ForeignOptions{
 		Store:          readAddress(table, "store"),
 		Readiness:      readAddress(table, "readiness"),
 		Directory:      readAddress(table, "directory"),
@@ -163,8 +169,17 @@
 			Slack:  table.NumberOr("extraAttemptsSlack", 0),
 			Period: table.DurationOr("extraAttemptsPeriod", defaultBudgetPeriod),
 		},
-		MemoryBytes: int64(table.NumberOr("memoryMegabytes", 0) * megabyte),
 	}
+	if foreign.Budget.Period < minBudgetPeriod {
+		table.Problemf("extraAttemptsPeriod", "extraAttemptsPeriod must be %s or more", minBudgetPeriod)
+	}
+	megabytes := table.NumberOr("memoryMegabytes", 0)
+	if megabytes > maxMemoryMegabytes {
+		table.Problemf("memoryMegabytes", "memoryMegabytes must be %d or less", maxMemoryMegabytes)
+		return foreign
+	}
+	foreign.MemoryBytes = int64(megabytes * megabyte)
+	return foreign
 }
 
 func readAddress(root *document.Table, key string) string {
--- a/pkg/document/reader.go
+++ b/pkg/document/reader.go
@@ -284,7 +284,7 @@
 	if whole, isWhole := t.values[key].(int64); isWhole {
 		number, ok = float64(whole), true
 	}
-	if !ok || !(number > 0) {
+	if !ok || !(number > 0) || math.IsInf(number, 0) {
 		t.Problemf(key, "%s must be a number above 0", key)
 		return fallback
 	}
