--- a/internal/node/options_test.go
+++ b/internal/node/options_test.go
@@ -23,15 +23,20 @@
 		if err != nil {
 			return
 		}
-		if options.VM == "" || options.LeaveTime < 0 || !(options.Cores >= 0) || math.IsInf(options.Cores, 0) {
+		if options.VM == "" || options.LeaveTime < 0 || !isAmount(options.Cores) {
 			t.Errorf("accepted: %+v", options)
 		}
 		foreign := options.Foreign
 		if foreign == nil {
 			return
 		}
-		if foreign.MemoryBytes < 0 || foreign.AddressListTTL <= 0 || foreign.Budget.Period < time.Millisecond || !(foreign.Budget.Ratio >= 0) || math.IsInf(foreign.Budget.Ratio, 0) || !(foreign.Budget.Slack >= 0) || math.IsInf(foreign.Budget.Slack, 0) {
+		if foreign.MemoryBytes < 0 || foreign.AddressListTTL <= 0 || foreign.Budget.Period < time.Millisecond || !isAmount(foreign.Budget.Ratio) || !isAmount(foreign.Budget.Slack) {
 			t.Errorf("accepted: %+v", *foreign)
 		}
 	})
 }
+
+// isAmount reports whether a number is finite and not negative.
+func isAmount(number float64) bool {
+	return number >= 0 && !math.IsInf(number, 0)
+}
