gate: slots of the gates before the predecessor stay reserved

Suspected in the postmortem of the gate taken over, shown by its model with three nodes. A gate told its successor what it had in flight itself. What it had reserved for its own predecessor it did not tell, so after two hand-overs within the time of one request the new gate used slots that the first one still used: 3 requests at an upstream with 2 slots.

Change: a report names the members whose requests it lists (new field of InFlight, which older nodes ignore and leave empty). The successor takes from each member only what it says of itself, and asks those before the predecessor too: passed-on counts would never reach nothing where two nodes take a service from each other in turn.

Tests: TestHandoverModel draws three nodes now.

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -115,12 +115,12 @@
 	const handovers = 30
 	for i := range handovers {
 		old, fresh := gates[i%2], gates[(i+1)%2]
-		fresh.Acquire(ctx, "orders", func(_ context.Context, release bool) ([]*wire.InFlight, error) {
+		fresh.Acquire(ctx, "orders", NewAskPredecessor(fresh.config.VM, old.config.VM, func(_ context.Context, _ string, release bool) ([]*wire.InFlight, error) {
 			if release {
-				return old.Release("orders", ""), nil
+				return old.Release("orders", fresh.config.VM), nil
 			}
 			return old.InFlight("orders"), nil
-		})
+		}))
 		time.Sleep(30 * time.Millisecond)
 		now := time.Now()
 		old.Tick(ctx, now)
--- a/internal/gate/gates.go
+++ b/internal/gate/gates.go
@@ -126,11 +126,6 @@
 	return services
 }
 
-// AskPredecessor returns the requests that the previous gate of a service still has
-// in flight, or an error if that gate can't be reached. With release, it first asks
-// that gate to release the service.
-type AskPredecessor func(ctx context.Context, release bool) ([]*wire.InFlight, error)
-
 // Acquire makes the node the gate of a service. Requests that the predecessor
 // still has in flight count against the slots. predecessor is nil if there is no
 // previous gate.
@@ -158,7 +153,7 @@
 }
 
 // Release steps down as the gate of the service, which the member "to" takes over, and
-// returns the requests that are still in flight at its upstreams.
+// returns the same as InFlight.
 func (g *Gates) Release(name, to string) []*wire.InFlight {
 	g.StepDown(name)
 	s := g.lookup(name)
@@ -166,7 +161,7 @@
 		return nil
 	}
 	s.recordRelease(to)
-	return s.inFlight()
+	return s.reportInFlight()
 }
 
 // ReleasedTo returns the member to which the node released the service last; empty if
@@ -181,13 +176,14 @@
 	return s.releasedTo
 }
 
-// InFlight returns the requests in flight at the upstreams of the service.
+// InFlight returns the requests in flight at the upstreams of the service, and those of
+// earlier gates for which the node reserved slots last.
 func (g *Gates) InFlight(name string) []*wire.InFlight {
 	s := g.lookup(name)
 	if s == nil {
 		return nil
 	}
-	return s.inFlight()
+	return s.reportInFlight()
 }
 
 // IsGateOf reports whether the node is the gate of the service, or is about to
--- a/internal/gate/handover_model_test.go
+++ b/internal/gate/handover_model_test.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -80,6 +81,8 @@
 	pause time.Duration
 	// work is how long the request takes; 0 for a hand-over.
 	work time.Duration
+	// to is how many positions the node that a hand-over assigns comes after the gate.
+	to int
 	// lost is true for a hand-over from a gate that can't be reached any more.
 	lost bool
 	// viewDelay is how long after a hand-over the previous gate learns of it.
@@ -93,25 +96,27 @@
 	case s.lost:
 		return fmt.Sprintf("%s gate lost", s.pause)
 	default:
-		return fmt.Sprintf("%s hand-over, known after %s", s.pause, s.viewDelay)
+		return fmt.Sprintf("%s hand-over by %d, known after %s", s.pause, s.to, s.viewDelay)
 	}
 }
 
 // warmupRequests is enough for the first gate to use all slots.
 const warmupRequests = 30
 
-// handoverModel is a service whose gate moves between two nodes.
+// modelNodes is the number of nodes of a handoverModel.
+const modelNodes = 3
+
+// handoverModel is a service whose gate moves between nodes.
 type handoverModel struct {
-	nodes     [2]*Gates
+	nodes     [modelNodes]*Gates
 	upstreams *fakeUpstreams
-	// gate is the position of the node that the service is assigned to.
-	gate int
+	// gate is the position of the node that the service is assigned to, and previous of
+	// the one before it.
+	gate, previous int
 	// requests counts the requests and the views that are under way.
 	requests sync.WaitGroup
 	mu       sync.Mutex
-	// assignments counts the hand-overs.
-	assignments int
-	replies     map[string]*wire.SubReply
+	replies  map[string]*wire.SubReply
 }
 
 func newHandoverModel(parsed *document.Document) *handoverModel {
@@ -120,7 +125,7 @@
 		replies:   map[string]*wire.SubReply{},
 	}
 	for i := range m.nodes {
-		vm := fmt.Sprint("vm-", i)
+		vm := vmName(i)
 		m.nodes[i] = New(Config{VM: vm, Recorder: timeline.NewRecorder(vm, logr.Discard()), Mode: Gated, Seed: 1})
 		m.nodes[i].Apply(parsed)
 		m.nodes[i].lookup("orders").client = &http.Client{Transport: m.upstreams}
@@ -128,37 +133,41 @@
 	return m
 }
 
-// acquire lets the node that is assigned the service take it over from the other one.
+func vmName(position int) string {
+	return fmt.Sprint("vm-", position)
+}
+
+// acquire lets the node that is assigned the service take it over from the one before.
 func (m *handoverModel) acquire(ctx context.Context, lost bool) {
-	previous := m.nodes[1-m.gate]
-	m.nodes[m.gate].Acquire(ctx, "orders", func(_ context.Context, release bool) ([]*wire.InFlight, error) {
+	ask := func(_ context.Context, vm string, release bool) ([]*wire.InFlight, error) {
+		asked := m.nodes[slices.IndexFunc(m.nodes[:], func(g *Gates) bool { return g.config.VM == vm })]
 		switch {
 		case lost:
 			return nil, errors.New("unreachable")
 		case release:
-			return previous.Release("orders", ""), nil
+			return asked.Release("orders", ""), nil
 		default:
-			return previous.InFlight("orders"), nil
+			return asked.InFlight("orders"), nil
 		}
-	})
+	}
+	m.nodes[m.gate].Acquire(ctx, "orders", NewAskPredecessor(vmName(m.gate), vmName(m.previous), ask))
 }
 
-// handOver assigns the service to the other node. The previous gate learns it after
+// handOver assigns the service to another node. The previous gate learns it after
 // viewDelay, or at once if it is lost.
 func (m *handoverModel) handOver(ctx context.Context, step handoverStep) {
-	m.gate = 1 - m.gate
-	m.assignments++
+	m.previous, m.gate = m.gate, (m.gate+step.to)%modelNodes
 	m.acquire(ctx, step.lost)
+	previous := m.nodes[m.previous]
 	if step.lost {
-		m.nodes[1-m.gate].StepDown("orders")
+		previous.StepDown("orders")
 		return
 	}
-	assignment, previous := m.assignments, m.nodes[1-m.gate]
 	m.requests.Go(func() {
 		time.Sleep(step.viewDelay)
 		m.mu.Lock()
 		defer m.mu.Unlock()
-		if m.assignments == assignment {
+		if m.nodes[m.gate] != previous {
 			previous.StepDown("orders")
 		}
 	})
@@ -236,6 +245,7 @@
 				step.work = time.Duration(rapid.IntRange(1, 400).Draw(rt, "work")) * time.Millisecond
 			} else {
 				step.lost = rapid.IntRange(0, 9).Draw(rt, "lost") == 0
+				step.to = rapid.IntRange(1, modelNodes-1).Draw(rt, "to")
 				step.viewDelay = time.Duration(rapid.IntRange(0, 300).Draw(rt, "view")) * time.Millisecond
 			}
 			return step
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -63,6 +63,9 @@
 	// acquisition numbers the acquisitions, so that one that was broken off by a step
 	// down does not complete the next one.
 	acquisition uint64
+	// reservedFor holds the requests of earlier gates for which slots are reserved, as
+	// of the last answer of the predecessor.
+	reservedFor []*wire.InFlight
 	// releasedTo is the member that asked this node last to release the service.
 	releasedTo string
 	// floors is the minimum share of each rank, most urgent first.
@@ -166,7 +169,7 @@
 	s.role = acquiring
 	s.acquisition++
 	s.acquisitionEnded = make(chan struct{})
-	s.clearReserved()
+	s.reserveFor(nil)
 	return s.acquisition, true
 }
 
@@ -214,27 +217,28 @@
 	if !s.isCurrent(acquisition) {
 		return false
 	}
-	s.clearReserved()
 	if err != nil {
 		// The predecessor can't be reached and is taken to have ended, together
 		// with its requests.
-		s.dispatch(time.Now())
-		return false
-	}
-	for _, f := range inFlight {
-		if position := s.upstreams.Position(f.GetUpstream()); position >= 0 {
-			s.upstreams.Reserve(position, int(f.GetCount()))
-		}
+		inFlight = nil
 	}
+	s.reserveFor(inFlight)
 	s.dispatch(time.Now())
 	return len(inFlight) > 0
 }
 
-// clearReserved frees the slots that are reserved for a predecessor. The caller holds
-// s.mu.
-func (s *service) clearReserved() {
-	for position := range s.upstreams.Len() {
-		s.upstreams.Reserve(position, 0)
+// reserveFor reserves the slots of requests of earlier gates, in place of those that
+// were reserved before. The caller holds s.mu.
+func (s *service) reserveFor(inFlight []*wire.InFlight) {
+	s.reservedFor = inFlight
+	counts := make([]int, s.upstreams.Len())
+	for _, f := range inFlight {
+		if position := s.upstreams.Position(f.GetUpstream()); position >= 0 {
+			counts[position] += int(f.GetCount())
+		}
+	}
+	for position, count := range counts {
+		s.upstreams.Reserve(position, count)
 	}
 }
 
@@ -285,12 +289,22 @@
 			inFlight = append(inFlight, &wire.InFlight{
 				Upstream: s.upstreams.Address(position),
 				Count:    uint32(count),
+				Vm:       s.gates.config.VM,
 			})
 		}
 	}
 	return inFlight
 }
 
+// reportInFlight lists the attempts in flight, and those of earlier gates for which slots
+// are or were reserved last.
+func (s *service) reportInFlight() []*wire.InFlight {
+	inFlight := s.inFlight()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append(inFlight, s.reservedFor...)
+}
+
 // awaitAcquired waits for an acquisition in progress and reports whether the node
 // is the gate.
 func (s *service) awaitAcquired(ctx context.Context) bool {
--- a/internal/node/assignment.go
+++ b/internal/node/assignment.go
@@ -74,14 +74,19 @@
 	if !found || vm == c.node.options.VM || m.State == member.Dead {
 		return nil
 	}
-	return func(ctx context.Context, release bool) ([]*wire.InFlight, error) {
-		call := &wire.Call{Body: &wire.Call_Release{Release: &wire.Release{Service: service, OnlyReport: !release, To: c.node.options.VM}}}
-		reply, err := c.node.network.CallUnary(ctx, m.VM, m.PeerAddress, call)
+	own, node := c.node.options.VM, c.node
+	return gate.NewAskPredecessor(own, m.VM, func(ctx context.Context, vm string, release bool) ([]*wire.InFlight, error) {
+		address := m.PeerAddress
+		if vm != m.VM {
+			address = node.View().Members[vm].PeerAddress
+		}
+		call := &wire.Call{Body: &wire.Call_Release{Release: &wire.Release{Service: service, OnlyReport: !release, To: own}}}
+		reply, err := node.network.CallUnary(ctx, vm, address, call)
 		if err != nil {
 			return nil, err
 		}
 		return reply.GetReleased().GetInFlight(), nil
-	}
+	})
 }
 
 // reviewGates acquires the services again that this node has released although it is
