standin: ports are reserved in blocks, so that two processes share none

Change: a process takes ports in blocks of 50 and listens on the first of a block, its guard, for as long as it runs.

--- a/internal/standin/address.go
+++ b/internal/standin/address.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"net"
-	"os"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -14,30 +13,63 @@
 const (
 	firstPort = 20000
 	lastPort  = 32000
+	// blockPorts is the number of ports that a process reserves at a time.
+	blockPorts = 50
 )
 
-// ports holds the last port that was tried. The start depends on the process ID, so
-// that test processes that run at the same time choose different ports.
-var ports = struct {
-	mu   sync.Mutex
-	next int
-}{next: firstPort + os.Getpid()%1000*12}
+// portAllocator hands out ports in blocks that belong to one process. A process owns a
+// block for as long as it listens on the block's first port, its guard.
+type portAllocator struct {
+	mu     sync.Mutex
+	guards []net.Listener
+	// next is the port to try, end the first one behind the present block.
+	next, end int
+}
+
+// processPorts are the ports of this process.
+var processPorts portAllocator
 
 // FreeAddress returns an address, host:port, of the IP that no process listens
-// on.
+// on. Other processes that call it at the same time get other ports.
 func FreeAddress(ip string) (string, error) {
-	ports.mu.Lock()
-	defer ports.mu.Unlock()
-	for range lastPort - firstPort {
-		ports.next++
-		if ports.next >= lastPort {
-			ports.next = firstPort
+	return processPorts.freeAddress(ip)
+}
+
+func (a *portAllocator) freeAddress(ip string) (string, error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for {
+		if a.next == a.end {
+			if err := a.reserveBlock(); err != nil {
+				return "", err
+			}
 		}
-		address := fmt.Sprintf("%s:%d", ip, ports.next)
+		address := fmt.Sprintf("%s:%d", ip, a.next)
+		a.next++
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			return address, errors.WithStack(listener.Close())
 		}
 	}
-	return "", errors.Errorf("no free port on %s from %d to %d", ip, firstPort, lastPort)
+}
+
+// reserveBlock takes the first block that no process owns.
+func (a *portAllocator) reserveBlock() error {
+	for guard := firstPort; guard+blockPorts <= lastPort; guard += blockPorts {
+		listener, err := net.Listen("tcp4", fmt.Sprintf("127.0.0.1:%d", guard))
+		if err != nil {
+			continue
+		}
+		a.guards = append(a.guards, listener)
+		a.next, a.end = guard+1, guard+blockPorts
+		return nil
+	}
+	return errors.Errorf("no free block of ports from %d to %d", firstPort, lastPort)
+}
+
+// release gives up all blocks.
+func (a *portAllocator) release() {
+	for _, g := range a.guards {
+		_ = g.Close()
+	}
 }
