A node records when its process did not run

The nodes' logs can't tell whether they were without processor time or waited for something, as a gap between two ticks of the control loop was counted and not told.

Change: processPaused in time line and log, with the gap, from 250 ms on, at which the node already counts itself as slow.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -201,6 +201,7 @@
 	c.lastTick = now
 	if gap > slowTickGap {
 		c.health.RecordFailure()
+		c.node.recorder.Record(timeline.Event{Name: timeline.ProcessPaused, Detail: gap.String()})
 	}
 	if gap < pauseThreshold {
 		return
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -39,6 +39,7 @@
 	StoreLost         Name = "storeLost"
 	StoreFound        Name = "storeFound"
 	NodeLeaving       Name = "nodeLeaving"
+	ProcessPaused     Name = "processPaused"
 )
 
 // Event is something that happened on one node.
