--- a/pkg/budget/budget_test.go
+++ b/pkg/budget/budget_test.go
@@ -72,3 +72,32 @@
 		t.Errorf("%d hedges and then %d retries were allowed, want at least 1 and 3", hedges, retries)
 	}
 }
+
+// TestRestartsStayWithinTheBound: nodes that restart several times within a period, each
+// time with an empty window, stay below the shared limit.
+func TestRestartsStayWithinTheBound(t *testing.T) {
+	config := Config{Ratio: 0.2, Slack: 58, Period: 10 * time.Second}
+	const (
+		nodes    = 5
+		lives    = 5
+		requests = 40
+	)
+	life := config.Period / lives
+	spent := 0
+	for i := range lives {
+		began := time.Duration(i) * life
+		for range nodes {
+			w := NewWindow(config)
+			for range requests {
+				w.AddRequest(began)
+			}
+			for w.Spend(began+life-1, nodes, Retry) {
+				spent++
+			}
+		}
+	}
+	all := nodes * lives * requests
+	if bound := config.Ratio*float64(all) + config.Slack; float64(spent) > bound {
+		t.Errorf("%d extra attempts for %d requests, allowed are %.0f", spent, all, bound)
+	}
+}
