--- a/review/lab/main.go
+++ b/review/lab/main.go
@@ -118,7 +118,9 @@
 		return nil, errors.New("deploy/system.toml has no run line")
 	}
 	l := &lab{command: string(line[1]), runs: &runLog{byID: map[string][]*run{}}, trouble: os.Getenv("TROUBLE") != "0"}
-	l.network = 1 + os.Getpid()%250
+	if err := l.chooseNetwork(); err != nil {
+		return nil, err
+	}
 	if l.folder, err = os.MkdirTemp("", "review"); err != nil {
 		return nil, err
 	}
@@ -130,6 +132,28 @@
 	return l, err
 }
 
+// machineHosts is the number of addresses that are kept for machines.
+const machineHosts = 4
+
+// chooseNetwork chooses addresses on which the port for metrics, which the template
+// fixes, is free.
+func (l *lab) chooseNetwork() error {
+	for i := range 250 {
+		l.network = 1 + (os.Getpid()+i)%250
+		var ips []string
+		for host := range machineHosts {
+			ips = append(ips, l.ip(firstHost+host))
+		}
+		if freeOnAll(ips, metricsPort) {
+			return nil
+		}
+	}
+	return errors.New("no free addresses")
+}
+
+// firstHost is the last byte of the address of the first machine.
+const firstHost = 10
+
 // ip returns a loopback address of this run.
 func (l *lab) ip(host int) string {
 	return fmt.Sprintf("127.77.%d.%d", l.network, host)
@@ -140,7 +164,7 @@
 func (l *lab) startMachines(zones ...string) (err error) {
 	var ips, seeds []string
 	for i := range zones {
-		ips = append(ips, l.ip(10+i))
+		ips = append(ips, l.ip(firstHost+i))
 	}
 	if l.ports, err = freePorts(ips); err != nil {
 		return err
@@ -167,7 +191,7 @@
 // addMachine adds a machine to the running system.
 func (l *lab) addMachine(zone string) error {
 	number := len(l.machines) + 1
-	m, err := l.newMachine(fmt.Sprintf("front-%s-%d", zone, number), zone, l.ip(9+number), l.seeds)
+	m, err := l.newMachine(fmt.Sprintf("front-%s-%d", zone, number), zone, l.ip(firstHost-1+number), l.seeds)
 	if err != nil {
 		return err
 	}
