Logs tell how requests in progress end when a node is shut down

Callers saw connections closed around SIGTERM, and the logs could not tell whether the node never answered, was killed, was stopped by a second signal, or answered and lost the answer: whole answers were sampled, failed writes were ignored, and nothing was logged of requests in progress.

While it leaves, whole answers are not sampled. No decision changes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -279,6 +279,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
 	defer cancel()
 	if err := n.callerServer.Shutdown(ctx); err != nil {
+		n.log.Info("callersCut", "vm", n.options.VM, "inProgress", n.inProgress(), "error", err.Error())
 		_ = n.callerServer.Close()
 	}
 }
@@ -294,36 +295,3 @@
 func (n *Node) Done() <-chan struct{} {
 	return n.done
 }
-
-// Leave shuts the node down gracefully: it is removed from the address list of
-// callers and gives up its gates, serves requests until the address lists that
-// callers keep have expired and no request is in progress, then stops.
-func (n *Node) Leave(ctx context.Context) error {
-	n.recorder.Record(timeline.Event{Name: timeline.NodeLeaving})
-	n.control.leave()
-	if n.adapter != nil {
-		n.adapter.Leave()
-	}
-	select {
-	case <-time.After(n.options.LeaveTime):
-	case <-ctx.Done():
-		return errors.WithStack(ctx.Err())
-	}
-	for n.inProgress() > 0 || n.gates.Busy() {
-		select {
-		case <-time.After(10 * time.Millisecond):
-		case <-ctx.Done():
-			return errors.WithStack(ctx.Err())
-		}
-	}
-	n.cancel()
-	return nil
-}
-
-// inProgress returns the number of requests that are not answered yet.
-func (n *Node) inProgress() int64 {
-	if n.adapter != nil {
-		return n.adapter.InProgress()
-	}
-	return n.entry.InProgress()
-}
--- a/internal/relay/answerlog.go
+++ b/internal/relay/answerlog.go
@@ -25,14 +25,23 @@
 	skipped  int
 	// complete counts complete answers, for sampling.
 	complete int
+	// unsampled is true if complete answers are not sampled.
+	unsampled bool
+}
+
+// logAll ends the sampling of complete answers.
+func (l *logRateLimiter) logAll() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.unsampled = true
 }
 
 // allow reports whether a line may be written, and how many were skipped since
-// the last one. Of complete answers it only allows a sample.
+// the last one. Of complete answers it only allows a sample, unless unsampled is set.
 func (l *logRateLimiter) allow(now time.Time, complete bool) (skipped int, ok bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if complete {
+	if complete && !l.unsampled {
 		l.complete++
 		if l.complete%sampleEvery != 1 {
 			return 0, false
@@ -71,6 +80,18 @@
 		"linesSkipped", skipped)
 }
 
+// RecordUndelivered logs that an answer could not be written to its caller.
+func (r *Relay) RecordUndelivered(request *Request, answer *Answer, err error) {
+	r.Metrics.undelivered.Inc()
+	skipped, ok := r.logLimiter.allow(time.Now(), false)
+	if !ok {
+		return
+	}
+	r.config.Log.Info("answerNotWritten", "requestID", request.ID, "outcome", answer.Outcome.String(),
+		"run", answer.Run.String(), "tookMs", time.Since(request.Received).Milliseconds(),
+		"error", err.Error(), "linesSkipped", skipped)
+}
+
 func formatOmissions(omitted []Omission) string {
 	var b strings.Builder
 	for i, o := range omitted {
@@ -94,6 +115,7 @@
 	bytes       *prometheus.CounterVec
 	latency     *prometheus.HistogramVec
 	omitted     *prometheus.CounterVec
+	undelivered prometheus.Counter
 }
 
 func newMetrics() *Metrics {
@@ -123,12 +145,16 @@
 			Name: "bronzereach_relay_omitted_shards_total",
 			Help: "Shards left out of answers by reason.",
 		}, []string{"reason"}),
+		undelivered: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "bronzereach_relay_undelivered_answers_total",
+			Help: "Answers that could not be written to their callers.",
+		}),
 	}
 }
 
 // Collectors returns the collectors to register.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answers, m.attempts, m.rateLimited, m.bytes, m.latency, m.omitted}
+	return []prometheus.Collector{m.answers, m.attempts, m.rateLimited, m.bytes, m.latency, m.omitted, m.undelivered}
 }
 
 func (m *Metrics) countAnswer(answer *Answer, elapsed time.Duration) {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -263,6 +263,11 @@
 	return r.inProgress.Load()
 }
 
+// Leave makes the relay log every answer, as far as the rate of lines allows.
+func (r *Relay) Leave() {
+	r.logLimiter.logAll()
+}
+
 // Do forwards a request and returns its answer. If ctx ends, which means that the
 // caller has disconnected, it returns early.
 func (r *Relay) Do(ctx context.Context, request *Request) *Answer {
