A node that leaves takes only what it can answer before it is killed

Callers saw connections closed without an answer around planned stops, of requests that had reached an upstream, most of them of the longest kind (LOST).

Cause: after leaveTime the node went on accepting and waited for a moment without a request in progress. Under steady traffic from callers who hold the address there is none, and SIGKILL cut whatever was in progress; a request longer than what was left of the grace period was cut in any case. The node did not know its grace period, and leaveTime was a constant in the deploy file. Class: work accepted that can't be finished; a wait for quiet that new work puts off without end.

Change: gracePeriod in the settings. Until callers can't have the address any more the node takes what it can answer in time, by the route's timeout for requests that must not be repeated and by twice the objective for idempotent ones; the rest is refused at once, not run. Then admission closes, so that the wait ends. Half a second before the kill all that is left is answered with what is known. leaveTime follows from addressLife. The same wait stood in the product's own entry: closed there too.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -52,6 +52,7 @@
 	runs        *claim.RunTable
 	// inProgress counts the requests that are not answered yet.
 	inProgress atomic.Int64
+	shutdown   *shutdown
 	// Metrics holds the metrics of the answers.
 	Metrics Metrics
 }
@@ -63,6 +64,7 @@
 		reportTable: newReportTable(),
 		issuer:      claim.NewIssuer(config.VM, config.Incarnation),
 		runs:        claim.NewRunTable(),
+		shutdown:    newShutdown(),
 		Metrics:     newMetrics(),
 	}
 }
@@ -107,6 +109,8 @@
 	received := time.Now()
 	e.inProgress.Add(1)
 	defer e.inProgress.Add(-1)
+	ctx, cancel := e.shutdown.withEnding(ctx)
+	defer cancel()
 	id := uuid.NewString()
 	view := e.config.View()
 	a := e.dispatch(ctx, view, request, id, received)
@@ -127,6 +131,9 @@
 	if !found {
 		return e.refuse(view, request, id, received, refusal{code: answer.CodeNoSuchKind, message: "the configuration does not define this kind of work"})
 	}
+	if e.shutdown.closed.Load() {
+		return e.refuseLeaving(view, kind, request, id, received)
+	}
 	e.record(timeline.RequestReceived, id, kind.Name)
 	if !kind.Repeatable {
 		return e.executeKeyed(ctx, view, kind, request, id, received)
@@ -295,7 +302,7 @@
 		return http.StatusConflict
 	case answer.CodeTicketUnknown, answer.CodeIssuerGone:
 		return http.StatusGone
-	case answer.CodeOverloaded, answer.CodeNotConfigured, answer.CodeStoreDown, answer.CodeNoSnapshot:
+	case answer.CodeOverloaded, answer.CodeNotConfigured, answer.CodeStoreDown, answer.CodeNoSnapshot, answer.CodeLeaving:
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusGatewayTimeout
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -96,10 +96,14 @@
 }
 
 // startRun runs the request on a goroutine that outlives the connection of the
-// caller, and waits for the answer. storedClaim is nil for a ticket.
+// caller, and waits for the answer, or until the node has to answer what it knows.
+// storedClaim is nil for a ticket.
 func (k *keyedRequest) startRun(run *claim.Run, storedClaim *claim.Claim) *answer.Answer {
 	go k.loop(run, storedClaim)
-	return run.Wait(context.Background())
+	if a := run.Wait(k.entry.shutdown.ending); a != nil {
+		return a
+	}
+	return k.unknownAnswer(answer.CodeLeaving, "this node shut down while the request was in progress", true)
 }
 
 // loop runs the request and stores its outcome. It does not stop when the caller
--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -39,10 +39,7 @@
 	// Upstreams returns what this node knows of the upstreams, to send it to another
 	// node. The revision is 0 while this node has not read the store.
 	Upstreams() upstream.Snapshot
-	// Leave makes answers tell callers to connect to another node.
-	Leave()
-	// InProgress returns the number of requests that are not answered yet.
-	InProgress() int64
+	callerFront
 	// Collectors returns the metrics to register.
 	Collectors() []prometheus.Collector
 }
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -14,36 +14,86 @@
 	drainPoll = 10 * time.Millisecond
 	// drainLogInterval is the time between two log lines of a node that drains.
 	drainLogInterval = time.Second
+	// answerReserve is the time before the end of the grace period that is left for
+	// writing the last answers; at most answerReserveFraction of the grace period.
+	answerReserve         = 500 * time.Millisecond
+	answerReserveFraction = 0.25
 )
 
-// Leave shuts the node down gracefully: it is removed from the address list of
-// callers and gives up its gates, serves requests until the address lists that
-// callers keep have expired and no request is in progress, then stops.
+// callerFront is what serves callers: the entry, or the adapter to another platform.
+type callerFront interface {
+	// Leave makes answers tell callers to connect to another node, and requests that
+	// might not be answered until answerBy be refused; zero if there is no such time.
+	Leave(answerBy time.Time)
+	// CloseAdmission makes all further requests be refused.
+	CloseAdmission()
+	// AnswerNow makes all requests in progress be answered with what is known of them.
+	AnswerNow()
+	// InProgress returns the number of requests that are not answered yet.
+	InProgress() int64
+}
+
+// front returns what serves callers.
+func (n *Node) front() callerFront {
+	if n.adapter != nil {
+		return n.adapter
+	}
+	return n.entry
+}
+
+// Leave shuts the node down gracefully: it is removed from the address list of callers
+// and gives up its gates, and serves callers until the address lists that they keep have
+// expired. Then it refuses further requests, so that those in progress come to an end,
+// and stops. If the node knows its grace period, all requests are answered within it.
 func (n *Node) Leave(ctx context.Context) error {
 	left := time.Now()
+	answerBy := n.planShutdown(left)
 	n.recorder.Record(timeline.Event{Name: timeline.NodeLeaving})
 	n.control.leave()
-	if n.adapter != nil {
-		n.adapter.Leave()
+	n.front().Leave(answerBy)
+	addressesExpire := left.Add(n.options.LeaveTime)
+	if !answerBy.IsZero() && answerBy.Before(addressesExpire) {
+		addressesExpire = answerBy
 	}
 	select {
-	case <-time.After(n.options.LeaveTime):
+	case <-time.After(time.Until(addressesExpire)):
 	case <-ctx.Done():
 		return errors.WithStack(ctx.Err())
 	}
-	if err := n.drain(ctx, left); err != nil {
+	n.front().CloseAdmission()
+	if err := n.drain(ctx, left, answerBy); err != nil {
 		return err
 	}
 	n.cancel()
 	return nil
 }
 
-// drain waits until no request is in progress. It logs how many there are, so that a
-// process that is killed meanwhile leaves a trace of them.
-func (n *Node) drain(ctx context.Context, left time.Time) error {
+// planShutdown returns when all requests must be answered; zero if the grace period is
+// not known.
+func (n *Node) planShutdown(left time.Time) (answerBy time.Time) {
+	grace := n.options.GracePeriod
+	if grace <= 0 {
+		return answerBy
+	}
+	killAt := left.Add(grace)
+	n.killAt.Store(&killAt)
+	reserve := min(answerReserve, time.Duration(answerReserveFraction*float64(grace)))
+	return killAt.Add(-reserve)
+}
+
+// drain waits until no request is in progress. At answerBy, unless that is zero, it makes
+// all be answered. It logs how many there are, so that a process that is killed meanwhile
+// leaves a trace of them.
+func (n *Node) drain(ctx context.Context, left, answerBy time.Time) error {
 	nextLog := time.Now()
 	for n.inProgress() > 0 || n.gates.Busy() {
-		if now := time.Now(); !now.Before(nextLog) {
+		now := time.Now()
+		if !answerBy.IsZero() && !now.Before(answerBy) {
+			n.logDrain("nodeOverdue", left)
+			n.front().AnswerNow()
+			return nil
+		}
+		if !now.Before(nextLog) {
 			n.logDrain("nodeDraining", left)
 			nextLog = now.Add(drainLogInterval)
 		}
@@ -64,8 +114,5 @@
 
 // inProgress returns the number of requests that are not answered yet.
 func (n *Node) inProgress() int64 {
-	if n.adapter != nil {
-		return n.adapter.InProgress()
-	}
-	return n.entry.InProgress()
+	return n.front().InProgress()
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -44,11 +44,14 @@
 
 // Limits of the HTTP server that callers connect to.
 const (
-	headerTimeout   = 2 * time.Second
-	bodyTimeout     = 10 * time.Second
-	idleTimeout     = time.Minute
-	maxHeaderBytes  = 16 << 10
+	headerTimeout  = 2 * time.Second
+	bodyTimeout    = 10 * time.Second
+	idleTimeout    = time.Minute
+	maxHeaderBytes = 16 << 10
+	// shutdownTimeout bounds the time to write the last answers, and exitReserve is the
+	// time left for the process to end.
 	shutdownTimeout = 2 * time.Second
+	exitReserve     = 100 * time.Millisecond
 )
 
 // Node is one process of the system: it serves callers and may be the gate of
@@ -73,8 +76,11 @@
 	callers      net.Listener
 	peers        net.Listener
 	callerServer *http.Server
-	cancel       context.CancelFunc
-	done         chan struct{}
+	// killAt is when the process may be killed, once it was told to leave; zero if that
+	// is not known.
+	killAt atomic.Pointer[time.Time]
+	cancel context.CancelFunc
+	done   chan struct{}
 }
 
 // New opens the node's listeners and creates its components. An address with
@@ -276,7 +282,7 @@
 }
 
 func (n *Node) stopCallers() {
-	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), n.shutdownTime())
 	defer cancel()
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.log.Info("callersCut", "vm", n.options.VM, "inProgress", n.inProgress(), "error", err.Error())
@@ -284,9 +290,19 @@
 	}
 }
 
-// Stop ends the node at once and returns the number of interrupted requests.
+// shutdownTime returns how long the last answers may take to be written.
+func (n *Node) shutdownTime() time.Duration {
+	if killAt := n.killAt.Load(); killAt != nil {
+		return min(shutdownTimeout, time.Until(killAt.Add(-exitReserve)))
+	}
+	return shutdownTimeout
+}
+
+// Stop ends the node at once. Requests in progress are answered with what is known of
+// them; their number is returned.
 func (n *Node) Stop() int64 {
 	interrupted := n.inProgress()
+	n.front().AnswerNow()
 	n.cancel()
 	return interrupted
 }
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -46,6 +46,9 @@
 	// LeaveTime is how long a leaving node goes on serving callers that may
 	// still have its address.
 	LeaveTime time.Duration
+	// GracePeriod is how long after the signal to stop the process may be killed; 0
+	// if that is not known.
+	GracePeriod time.Duration
 	// Foreign holds the settings for a platform other than the product's own;
 	// nil on the product's own.
 	Foreign *ForeignOptions
@@ -132,8 +135,12 @@
 	}
 	options.DirectNodes = root.CountOr("directNodes", options.DirectNodes)
 	options.Cores = root.NumberOr("cores", options.Cores)
-	options.LeaveTime = root.DurationOr("leaveTime", options.LeaveTime)
 	options.Foreign = readForeignOptions(root)
+	if options.Foreign != nil {
+		options.LeaveTime = addressListUses*options.Foreign.AddressListTTL + noticeTime
+	}
+	options.LeaveTime = root.DurationOr("leaveTime", options.LeaveTime)
+	options.GracePeriod = root.DurationOr("gracePeriod", options.GracePeriod)
 	return options, reader.Finish()
 }
 
@@ -145,6 +152,15 @@
 	megabyte            = 1 << 20
 )
 
+// How long callers on a foreign platform may use the address of a node that leaves.
+const (
+	// addressListUses is how long some of them keep a list, in multiples of the time
+	// that the answer states.
+	addressListUses = 3
+	// noticeTime is the time until no node names the address any more.
+	noticeTime = 400 * time.Millisecond
+)
+
 // Bounds of settings for a foreign platform.
 const (
 	minBudgetPeriod    = 100 * time.Millisecond
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -105,6 +105,8 @@
 			f.relay.wakeupDelay.record(time.Since(wakeup))
 			f.plan.expectWakeup(f.relay.wakeupDelay.estimate())
 			f.hedge(time.Now())
+		case <-f.relay.answerNow:
+			return f.buildLeavingAnswer(time.Now())
 		case <-ctx.Done():
 			return &Answer{Outcome: CallerDisconnected, Run: f.runStatus(), Attempts: f.attempts}
 		}
@@ -401,6 +403,20 @@
 	return answer
 }
 
+// buildLeavingAnswer builds the answer of a request that is given up because the node
+// leaves.
+func (f *forwarder) buildLeavingAnswer(now time.Time) *Answer {
+	answer := f.buildAnswer(now)
+	switch answer.Outcome {
+	case Refused:
+		answer.Reason, answer.RetryAfter = ReasonLeaving, leavingRetryAfter
+	case Failed, TimedOut:
+		answer.Reason = ReasonLeaving
+	default:
+	}
+	return answer
+}
+
 // reason returns the reason of the first shard that has one.
 func (f *forwarder) reason() Reason {
 	for i := range f.shards {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -156,6 +156,7 @@
 	ReasonFailureReply Reason = "failureReply"
 	ReasonStraggler    Reason = "straggler"
 	ReasonDeadline     Reason = "deadline"
+	ReasonLeaving      Reason = "leaving"
 )
 
 // Part identifies the reply of one shard in a merged answer.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -73,7 +73,12 @@
 	mu           sync.Mutex
 	routingState atomic.Pointer[routingState]
 
-	inProgress       atomic.Int64
+	inProgress atomic.Int64
+	leaving    atomic.Pointer[leaving]
+	// answerNow is closed when all requests in progress must be answered.
+	answerNow     chan struct{}
+	answerNowOnce sync.Once
+
 	splitCount       atomic.Uint64
 	hedgeDelays      hedgeDelays
 	deadlineTrackers deadlineTrackers
@@ -105,7 +110,9 @@
 		hedgeDelays:      newHedgeDelays(),
 		deadlineTrackers: newDeadlineTrackers(),
 		wakeupDelay:      newWakeupDelay(),
+		answerNow:        make(chan struct{}),
 	}
+	r.leaving.Store(&leaving{})
 	r.routingState.Store(&routingState{})
 	return r
 }
@@ -263,11 +270,6 @@
 	return r.inProgress.Load()
 }
 
-// Leave makes the relay log every answer, as far as the rate of lines allows.
-func (r *Relay) Leave() {
-	r.logLimiter.logAll()
-}
-
 // Do forwards a request and returns its answer. If ctx ends, which means that the
 // caller has disconnected, it returns early.
 func (r *Relay) Do(ctx context.Context, request *Request) *Answer {
@@ -292,6 +294,11 @@
 		return &Answer{Outcome: NoRoute, Reason: ReasonNoRoute, Run: NotRun, ConfigVersion: s.table.Version()}
 	}
 	request.Route = matched
+	if r.leaving.Load().refuses(time.Now(), request) {
+		answer := refusal(ReasonLeaving, leavingRetryAfter)
+		answer.ConfigVersion = s.table.Version()
+		return answer
+	}
 	prepared, err := r.config.Protocol.Prepare(request)
 	if err != nil {
 		r.config.Log.Info("requestMalformed", "requestID", request.ID, "error", err.Error())
