A repeated SIGTERM no longer ends a leaving node

Callers of requests longer than 2 s saw them cut when a supervisor sent SIGTERM again to a process that was shutting down.

Cause: any second signal ended the node at once, and connections were closed 2 s later. Class: a message that may come twice means something else the second time. Looked at in the same place: SIGHUP during a stop only reloads peers; a signal while the node is built waits in the channel's buffer.

Change: a repeated SIGTERM is logged and changes nothing.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -76,8 +76,8 @@
 
 // signalSet holds the channels of the signals that a node catches.
 type signalSet struct {
-	// leave receives SIGINT and SIGTERM. Its buffer holds two signals: the first one
-	// starts a graceful shutdown, the second one aborts the requests in progress.
+	// leave receives SIGINT and SIGTERM. Its buffer holds the signals that may arrive
+	// while the node is built.
 	leave chan os.Signal
 	// reload receives SIGHUP.
 	reload chan os.Signal
@@ -96,13 +96,14 @@
 	signal.Stop(s.reload)
 }
 
-// shutdownHandler ends a node on signals: gracefully on the first one, at once on the
-// second one.
+// shutdownHandler ends a node on signals: gracefully on the first one, at once on an
+// interrupt (SIGINT) after it. A repeated SIGTERM changes nothing: supervisors may send
+// one to a process that is shutting down already.
 type shutdownHandler struct {
 	node    *node.Node
 	log     logr.Logger
 	signals <-chan os.Signal
-	// abortedRequests is the number of requests that the second signal aborted.
+	// abortedRequests is the number of requests that an interrupt ended early.
 	abortedRequests int64
 }
 
@@ -117,10 +118,15 @@
 	}
 }
 
-// run waits for the second signal.
+// run waits for an interrupt.
 func (h *shutdownHandler) run(cancel context.CancelFunc) {
-	<-h.signals
-	cancel()
+	for s := range h.signals {
+		if s == os.Interrupt {
+			cancel()
+			return
+		}
+		h.log.Info("signalRepeated", "signal", s.String())
+	}
 }
 
 // startProfile writes a CPU profile to a file until stop is called.
