The supervisor's grace period comes by BRONZEREACH_GRACE_PERIOD

The deploy file tells the grace period of the deployment by an environment variable, which goes before the settings file: it belongs to whoever starts the process. On the users' platform it defaults to 6 s. nodeLeaving logs what the node goes by.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -40,6 +40,9 @@
 	if options.Foreign != nil {
 		options.NewAdapter = platform.New
 	}
+	if flags.gracePeriod > 0 {
+		options.GracePeriod = flags.gracePeriod
+	}
 	if flags.profile != "" {
 		stop, err := startProfile(flags.profile)
 		if err != nil {
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -26,6 +26,10 @@
 // file; the flag -settings overrides it.
 const settingsVariable = "BRONZEREACH_SETTINGS"
 
+// graceVariable is the environment variable with the grace period of a supervisor; it
+// goes before the settings.
+const graceVariable = "BRONZEREACH_GRACE_PERIOD"
+
 // usage is the help text of the program.
 const usage = `bronzereach answers queries over many shards and explains each answer.
 
@@ -63,6 +67,9 @@
 type nodeOptions struct {
 	settings string
 	profile  string
+	// gracePeriod is how long after the signal to stop the process may be killed; 0 if
+	// only the settings may tell.
+	gracePeriod time.Duration
 }
 
 // queryOptions are the flags of "query".
@@ -197,9 +204,24 @@
 	if options.settings == "" {
 		return options, errors.WithMessage(errUsage, "-settings is missing")
 	}
+	if options.gracePeriod, err = readGracePeriod(os.Getenv(graceVariable)); err != nil {
+		return options, err
+	}
 	return options, rejectArguments(set)
 }
 
+// readGracePeriod parses the value of graceVariable, which may be empty.
+func readGracePeriod(text string) (grace time.Duration, err error) {
+	if text == "" {
+		return 0, nil
+	}
+	grace, err = time.ParseDuration(text)
+	if err != nil || grace <= 0 {
+		return 0, errors.WithMessagef(errUsage, "%s: %q is not a duration above 0 with a unit, such as \"6s\"", graceVariable, text)
+	}
+	return grace, nil
+}
+
 func parseQuery(arguments []string, out io.Writer) (options queryOptions, err error) {
 	var nodes addressList
 	set, err := parseFlags("query", arguments, out, func(set *flag.FlagSet) {
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/pkg/errors"
@@ -48,7 +49,10 @@
 func (n *Node) Leave(ctx context.Context) error {
 	left := time.Now()
 	answerBy := n.planShutdown(left)
-	n.recorder.Record(timeline.Event{Name: timeline.NodeLeaving})
+	n.recorder.Record(timeline.Event{
+		Name:   timeline.NodeLeaving,
+		Detail: fmt.Sprintf("grace=%s addressUse=%s", n.options.GracePeriod, n.options.LeaveTime),
+	})
 	n.control.leave()
 	n.front().Leave(answerBy)
 	addressesExpire := left.Add(n.options.LeaveTime)
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -138,6 +138,7 @@
 	options.Foreign = readForeignOptions(root)
 	if options.Foreign != nil {
 		options.LeaveTime = addressListUses*options.Foreign.AddressListTTL + noticeTime
+		options.GracePeriod = defaultGracePeriod
 	}
 	options.LeaveTime = root.DurationOr("leaveTime", options.LeaveTime)
 	options.GracePeriod = root.DurationOr("gracePeriod", options.GracePeriod)
@@ -147,6 +148,7 @@
 // Defaults of optional settings for a foreign platform.
 const (
 	defaultAddressLife  = 1200 * time.Millisecond
+	defaultGracePeriod  = 6 * time.Second
 	defaultBudgetPeriod = 10 * time.Second
 	defaultBudgetRatio  = 0.1
 	megabyte            = 1 << 20
