Connections of callers keep the configuration's timeouts and leave descriptors for others

Callers who leave connections open used up a node's descriptors after half a minute; then peers, upstreams and new callers found none. A route's configuration named 15 s for idle connections, the node kept them for 60 s; a head might take 2 s where 3 s were allowed; heads above 16 KiB were refused whatever the configuration said.

Cause: fixed constants in the server; the configuration's limits were read and used nowhere. Nothing bounded the number of connections.

Change: callerConns follows each connection's state, gives up those that are idle or slow to send a head for longer than the configuration in force says, keeps callers within half of the descriptors, and makes room for a new connection by the one that has been idle for longest. A connection on which bytes of a request have arrived is never given up as idle, and bytes that cross the close are not passed on.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -39,6 +39,9 @@
 	// Upstreams returns what this node knows of the upstreams, to send it to another
 	// node. The revision is 0 while this node has not read the store.
 	Upstreams() upstream.Snapshot
+	// CallerTimeouts returns how long a caller may take to send the head of a request,
+	// and how long its connection may be idle; 0 where the configuration says nothing.
+	CallerTimeouts() (header, idle time.Duration)
 	callerFront
 	// Collectors returns the metrics to register.
 	Collectors() []prometheus.Collector
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -20,9 +20,11 @@
 import (
 	"context"
 	"crypto/tls"
+	"math"
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -44,10 +46,18 @@
 
 // Limits of the HTTP server that callers connect to.
 const (
-	headerTimeout  = 2 * time.Second
-	bodyTimeout    = 10 * time.Second
-	idleTimeout    = time.Minute
-	maxHeaderBytes = 16 << 10
+	// headerTimeout and idleTimeout apply where the configuration has no others, see
+	// callerConns.
+	headerTimeout = 2 * time.Second
+	idleTimeout   = time.Minute
+	bodyTimeout   = 10 * time.Second
+	// serverIdleTimeout is above any idle timeout of a configuration.
+	serverIdleTimeout = 24 * time.Hour
+	// maxHeaderBytes is above what configurations allow.
+	maxHeaderBytes = 64 << 10
+	// callerDescriptorShare is the share of the process's file descriptors that
+	// connections of callers may use; the others are for upstreams, peers and the store.
+	callerDescriptorShare = 0.5
 	// shutdownTimeout bounds the time to write the last answers, and exitReserve is the
 	// time left for the process to end.
 	shutdownTimeout = 2 * time.Second
@@ -75,6 +85,7 @@
 	view         atomic.Pointer[entry.View]
 	callers      net.Listener
 	peers        net.Listener
+	callerConns  *callerConns
 	callerServer *http.Server
 	// killAt is when the process may be killed, once it was told to leave; zero if that
 	// is not known.
@@ -186,13 +197,46 @@
 		n.registry.MustRegister(n.adapter.Collectors()...)
 		handler = n.adapter.Handler()
 	}
+	n.callerConns = newCallerConns(callerConnsConfig{
+		Timeouts: n.callerTimeouts,
+		Maximum:  int(callerDescriptorShare * float64(maxDescriptors())),
+		Timers:   n.timers,
+		Log:      n.log,
+	})
 	n.callerServer = &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: headerTimeout,
-		ReadTimeout:       bodyTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		Handler:        handler,
+		ReadTimeout:    bodyTimeout,
+		IdleTimeout:    serverIdleTimeout,
+		MaxHeaderBytes: maxHeaderBytes,
+		ConnState:      n.callerConns.stateChanged,
+	}
+}
+
+// callerTimeouts returns how long a caller may take to send the head of a request, and
+// how long its connection may be idle.
+func (n *Node) callerTimeouts() (header, idle time.Duration) {
+	if n.adapter != nil {
+		header, idle = n.adapter.CallerTimeouts()
+	}
+	if header <= 0 {
+		header = headerTimeout
+	}
+	if idle <= 0 {
+		idle = idleTimeout
+	}
+	return header, idle
+}
+
+// defaultDescriptors is assumed if the limit of file descriptors can't be read.
+const defaultDescriptors = 1024
+
+// maxDescriptors returns how many file descriptors the process may have.
+func maxDescriptors() uint64 {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return defaultDescriptors
 	}
+	return min(limit.Cur, math.MaxInt32)
 }
 
 // peerSourceIP returns the source IP of outgoing peer connections: the IP of
@@ -250,6 +294,7 @@
 		n.timers.Run,
 		n.network.Run,
 		n.control.run,
+		n.callerConns.run,
 		func(ctx context.Context) error { return n.network.Serve(ctx, n.peers) },
 	}
 	if n.adapter != nil {
@@ -270,7 +315,7 @@
 }
 
 func (n *Node) serveCallers() error {
-	listener := n.callers
+	var listener net.Listener = callerListener{Listener: n.callers, conns: n.callerConns}
 	if n.keys != nil {
 		listener = tls.NewListener(listener, n.keys.ServerTLSConfig())
 	}
