--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -112,7 +112,7 @@
 
 // AnnounceLeaving tells the other nodes that an upstream is leaving.
 func (n *Node) AnnounceLeaving(upstream, incarnation string) {
-	n.control.post(upstreamLeaving{upstream: upstream, incarnation: incarnation})
+	n.control.announcements.Put(upstreamLeaving{upstream: upstream, incarnation: incarnation})
 }
 
 // upstreamLeaving is the adapter's report that an upstream is leaving.
@@ -121,8 +121,11 @@
 	incarnation string
 }
 
-func (e upstreamLeaving) apply(_ context.Context, c *control, now time.Time) {
-	c.broadcast(now, &wire.Notice{Upstream: e.upstream, Incarnation: e.incarnation, Sequence: uint64(now.UnixNano())})
+// announce tells the other nodes what the adapter has reported.
+func (c *control) announce(now time.Time) {
+	for _, report := range c.announcements.Take() {
+		c.broadcast(now, &wire.Notice{Upstream: report.upstream, Incarnation: report.incarnation, Sequence: uint64(now.UnixNano())})
+	}
 }
 
 // ErrNoPeer is returned by RequestUpstreams if no ready peer is known.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -54,7 +54,10 @@
 type control struct {
 	node   *Node
 	events chan event
-	random *rand.Rand
+	// announcements are from the adapter, to which run sends notices itself: neither may
+	// wait for the other.
+	announcements *util.Mailbox[upstreamLeaving]
+	random        *rand.Rand
 	// watching is whether the node calls the platform on behalf of others; with an
 	// adapter, whether it watches the store closely (see updateStoreWatching). The
 	// watch loops read it.
@@ -124,6 +127,7 @@
 	c := &control{
 		node:              n,
 		events:            make(chan event, eventBacklog),
+		announcements:     util.NewMailbox[upstreamLeaving](),
 		random:            rand.New(rand.NewPCG(n.incarnation, 2)),
 		table:             member.NewTable(n.initialMember(), now),
 		assignmentTrusted: true,
@@ -160,6 +164,8 @@
 			return ctx.Err()
 		case e := <-c.events:
 			e.apply(ctx, c, time.Now())
+		case <-c.announcements.Ready():
+			c.announce(time.Now())
 		case tick := <-subscription.C:
 			if err := c.tick(ctx, tick.Now); err != nil {
 				return err
