relay: a reset that the writer of a request notices makes the reply incomplete

Cause: a reply without a length is whole if its connection ends in order, not if it is reset. A long request body is written by a goroutine of its own while the reply is read. Linux reports a reset to one call only: if that is the write, it returns ECONNRESET, and the read that follows returns the orderly end of the connection. The exchange then kept the reply and only ruled out that the connection is reused. The same holds for the other failures of a connection (ETIMEDOUT, EHOSTUNREACH), and for a short request whose write fails before the reply is read.

Why it works: for a reply that ends with its connection the exchange now ends the writing and waits for its result. Only a write that succeeded, was ended by this deadline, or failed by EPIPE leaves the reply whole. Replies with a length or in chunks prove their own end and are judged as before.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"os"
 	"sync"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/pkg/replica"
 )
@@ -134,17 +138,8 @@
 		written <- a.writeRequest(c, timeLeft)
 	}
 	reply, err := a.service.relay.config.Protocol.ReadReply(c.reader, a.request)
-	select {
-	case writeErr := <-written:
-		if err == nil && writeErr != nil {
-			reply.IdleTimeout = 0
-		}
-	default:
-		// The body has not been written completely, so the connection can't be
-		// reused.
-		if reply != nil {
-			reply.IdleTimeout = 0
-		}
+	if err == nil {
+		err = checkWrite(c, written, reply)
 	}
 	if err != nil {
 		return forwarderEvent{run: MayHaveRun, reason: ReasonBrokenReply}
@@ -155,6 +150,39 @@
 	return forwarderEvent{run: reply.Run, reply: reply, reason: replyReason(reply)}
 }
 
+// checkWrite rules out that the connection is reused unless the request was written
+// completely. It returns an error if the reply may be incomplete.
+func checkWrite(c *connection, written <-chan error, reply *Reply) (err error) {
+	defer util.Annotate(&err, "write request")
+	if reply.EndsWithConnection {
+		return awaitWrite(c, written)
+	}
+	select {
+	case writeErr := <-written:
+		if writeErr != nil {
+			reply.IdleTimeout = 0
+		}
+	default:
+		reply.IdleTimeout = 0
+	}
+	return nil
+}
+
+// awaitWrite ends the writing of a request whose reply ended with the connection. The
+// kernel reports a failure of the connection only once: if the writer was told, the
+// reader saw an orderly end. EPIPE is no such failure, as the upstream had closed the
+// connection before.
+func awaitWrite(c *connection, written <-chan error) error {
+	if err := c.net.SetWriteDeadline(time.Now()); err != nil {
+		return errors.WithStack(err)
+	}
+	err := <-written
+	if errors.Is(err, os.ErrDeadlineExceeded) || errors.Is(err, syscall.EPIPE) {
+		return nil
+	}
+	return err
+}
+
 func (a *attempt) writeRequest(c *connection, timeLeft time.Duration) error {
 	err := a.service.relay.config.Protocol.WriteRequest(c.writer, a.request.prepared, a.upstreamReplica.Registration, timeLeft)
 	if err != nil {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -91,6 +91,9 @@
 	// reply does not tell whether there is one.
 	RateLimit      replica.RateLimit
 	TellsRateLimit bool
+	// EndsWithConnection is true if only the end of the connection ended the body.
+	// IdleTimeout is then 0.
+	EndsWithConnection bool
 	// IdleTimeout is how long the upstream keeps the idle connection open. It is 0
 	// if the upstream closes the connection, or if the connection holds bytes
 	// that belong to no reply.
