node: registrations out of range reach the peers in range

An operator would see nodes that got their upstreams from a peer take one for cold for 49 days, or for one with 4,294,967,295 slots, where the peer itself does not.

Cause: the message has unsigned 32-bit fields and the values were cut to them, so that -1 ms became 4,294,967,295 ms.

Before: negative values arrive as slots, cold for 1193h2m47.295s; large values arrive as slots, cold for 577h0m52.342s. After: 0 and the largest value; the test passes. Why it works: the conversion saturates.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -205,15 +206,20 @@
 			Service:          r.Service,
 			Address:          r.Address,
 			AvailabilityZone: r.AvailabilityZone,
-			Slots:            uint32(r.Slots),
+			Slots:            saturateUint32(int64(r.Slots)),
 			Born:             r.Born,
 			Leaving:          r.Leaving,
-			ColdMillis:       uint32(r.ColdRemaining.Milliseconds()),
+			ColdMillis:       saturateUint32(r.ColdRemaining.Milliseconds()),
 		}
 	}
 	return converted
 }
 
+// saturateUint32 converts a value, or returns the nearest one that can be represented.
+func saturateUint32(value int64) uint32 {
+	return uint32(min(max(value, 0), math.MaxUint32))
+}
+
 func registrationsFromWire(registrations []*wire.Registration) []upstream.Registration {
 	converted := make([]upstream.Registration, len(registrations))
 	for i, r := range registrations {
--- a/internal/node/adapter_test.go
+++ b/internal/node/adapter_test.go
@@ -1,8 +1,11 @@
 package node
 
 import (
+	"math"
 	"testing"
 	"time"
+
+	"github.com/bronzereach/bronzereach/pkg/upstream"
 )
 
 // TestFollowsClosely checks that a node that has just started does not watch the
@@ -26,3 +29,19 @@
 		}
 	}
 }
+
+// TestRegistrationsOutOfRangeReachPeersInRange: a value that a message can't hold doesn't
+// turn into another one at the peers.
+func TestRegistrationsOutOfRangeReachPeersInRange(t *testing.T) {
+	sent := []upstream.Registration{
+		{ID: "a", Slots: -1, ColdRemaining: -time.Millisecond},
+		{ID: "b", Slots: math.MaxInt, ColdRemaining: math.MaxInt64},
+	}
+	got := registrationsFromWire(registrationsToWire(sent))
+	if got[0].Slots > 1 || got[0].ColdRemaining > 0 {
+		t.Errorf("negative values arrive as %d slots, cold for %s", got[0].Slots, got[0].ColdRemaining)
+	}
+	if got[1].Slots < math.MaxUint32 || got[1].ColdRemaining < math.MaxUint32*time.Millisecond {
+		t.Errorf("large values arrive as %d slots, cold for %s", got[1].Slots, got[1].ColdRemaining)
+	}
+}
