relay: an entry of an unnamed service takes over no address

An operator would see an upstream without requests, at all nodes, while its own entry is sound: another writer's entry of a service that no configuration names has its address and a later start. Nodes that ask a peer don't get the sound entry at all.

Cause: Registry kept one registration an address, the one that started last, without knowing which services get requests.

Change: the registry holds, and passes on, all registrations. The relay, which has the routing table, leaves out those whose address a later one of a service in the table has taken over (upstream.WithoutReplaced), and looks again when the table changes. What the rule protects stays: after a reuse of an address by a service in the table, the old registration gets no requests (TestReusedAddress, TestAddressGoesToNamedService).

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -90,9 +91,11 @@
 	services map[string]*service
 	// upstreamsKnown is true once SetUpstreams has been called.
 	upstreamsKnown bool
-	// registrations holds the registrations of all upstreams, and upstreamZones the
-	// availability zones that hold upstreams of the shards.
+	// registrations holds all registrations, and reachable those of them whose address
+	// no other upstream has taken over.
 	registrations []upstream.Registration
+	reachable     []upstream.Registration
+	// upstreamZones holds the availability zones that hold upstreams of the shards.
 	upstreamZones []string
 }
 
@@ -121,7 +124,12 @@
 	}
 	next := *old
 	next.table = table
-	next.upstreamZones = upstream.Zones(next.registrations, table.Shards())
+	reachable := reachableUpstreams(table, old.registrations)
+	if !slices.Equal(reachable, old.reachable) {
+		next.services = r.updateServices(old.services, table, reachable)
+		next.reachable = reachable
+	}
+	next.upstreamZones = upstream.Zones(reachable, table.Shards())
 	r.routingState.Store(&next)
 	r.updateLimits(&next)
 	r.hedgeDelays.retain(table)
@@ -133,35 +141,53 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.routingState.Load()
+	reachable := reachableUpstreams(old.table, registrations)
 	next := routingState{
 		table:          old.table,
 		upstreamsKnown: true,
-		services:       make(map[string]*service, len(old.services)),
+		services:       r.updateServices(old.services, old.table, reachable),
 		registrations:  registrations,
-		upstreamZones:  upstream.Zones(registrations, old.table.Shards()),
+		reachable:      reachable,
+		upstreamZones:  upstream.Zones(reachable, old.table.Shards()),
 	}
+	r.routingState.Store(&next)
+	r.updateLimits(&next)
+}
+
+// reachableUpstreams returns the registrations whose address no upstream of a service in
+// the table has taken over.
+func reachableUpstreams(table *route.Table, registrations []upstream.Registration) []upstream.Registration {
+	return upstream.WithoutReplaced(registrations, func(registration upstream.Registration) bool {
+		_, configured := table.Service(registration.Service)
+		return configured || table.UsesService(registration.Service)
+	})
+}
+
+// updateServices passes the registrations to their services, of which it returns those that
+// have one or are in the table.
+func (r *Relay) updateServices(old map[string]*service, table *route.Table, registrations []upstream.Registration) map[string]*service {
 	byService := map[string][]upstream.Registration{}
 	for _, registration := range registrations {
 		byService[registration.Service] = append(byService[registration.Service], registration)
 	}
-	for name, s := range old.services {
-		if len(byService[name]) > 0 || old.table.UsesService(name) {
-			next.services[name] = s
+	now := time.Now()
+	services := make(map[string]*service, len(old))
+	for name, s := range old {
+		if len(byService[name]) > 0 || table.UsesService(name) {
+			services[name] = s
 			continue
 		}
-		s.updateReplicas(time.Now(), nil)
+		s.updateReplicas(now, nil)
 	}
 	for name := range byService {
-		if next.services[name] == nil {
-			next.services[name] = newService(r, name)
+		if services[name] == nil {
+			services[name] = newService(r, name)
 		}
 	}
-	now := time.Now()
-	for name, s := range next.services {
+	for name, s := range services {
 		s.updateReplicas(now, byService[name])
 	}
-	r.routingState.Store(&next)
-	r.updateLimits(&next)
+	return services
 }
 
 // Fractions of a node's share of the connections that an upstream allows.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -45,6 +45,35 @@
 	}
 }
 
+// TestAddressGoesToNamedService: of two upstreams at an address the one that started last
+// gets requests as soon as the table names its service, and before that the other one.
+func TestAddressGoesToNamedService(t *testing.T) {
+	r := New(Config{Fleet: func() Fleet { return Fleet{Serving: 1, Serves: true} }, Log: logr.Discard()})
+	old := upstream.Registration{ID: "a", Service: "s", Address: "1", Slots: 1, Born: 1}
+	later := upstream.Registration{ID: "z", Service: "t", Address: "1", Slots: 1, Born: 2}
+	routes := []route.Route{{Host: "h", Prefix: "/", Shards: []string{"s"}}, {Host: "i", Prefix: "/", Shards: []string{"t"}}}
+	count := func(name string) int {
+		s := r.routingState.Load().services[name]
+		if s == nil {
+			return 0
+		}
+		return len(s.replicaGroup.Replicas())
+	}
+	r.SetUpstreams([]upstream.Registration{old, later})
+	r.SetTable(route.NewTable(route.Config{Version: 1, Routes: routes[:1]}))
+	if count("s") != 1 {
+		t.Error("an upstream of a service that is not in the table has taken over the address")
+	}
+	r.SetTable(route.NewTable(route.Config{Version: 2, Routes: routes}))
+	if count("s") != 0 || count("t") != 1 {
+		t.Errorf("%d and %d upstreams once the table names both services, want 0 and 1", count("s"), count("t"))
+	}
+	r.SetUpstreams([]upstream.Registration{old, later})
+	if count("s") != 0 || count("t") != 1 {
+		t.Errorf("%d and %d upstreams of both services, want 0 and 1", count("s"), count("t"))
+	}
+}
+
 // TestConnectionsAreShared: all nodes of a large fleet together keep no more idle
 // connections to an upstream than it accepts, and each may still open one.
 func TestConnectionsAreShared(t *testing.T) {
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -189,7 +189,7 @@
 }
 
 // Snapshot returns the registrations as the store has them as of a revision, sorted
-// and selected as by All, and apart from them the reports of peers, to pass both on
+// as by All, and apart from them the reports of peers, to pass both on
 // to other nodes. Registrations that are missing from the store are not among them:
 // another node would take them for present as of the revision and ignore the earlier
 // notices that they leave. The same goes for those that are reported to be leaving and
@@ -250,8 +250,8 @@
 	return reported && report.revision >= registration.Revision
 }
 
-// All returns the registrations, sorted by ID and with the peers' reports
-// applied. Of several at one address it returns only the one that started last.
+// All returns the registrations, sorted by ID and with the peers' reports applied. There
+// may be several at one address, see WithoutReplaced.
 func (r *Registry) All() []Registration {
 	return r.list(r.reportedLeaving)
 }
@@ -259,26 +259,11 @@
 // list returns the registrations, sorted by ID. leaves reports whether a
 // registration is leaving although it doesn't say so itself.
 func (r *Registry) list(leaves func(Registration) bool) []Registration {
-	newest := make(map[string]Registration, len(r.current))
+	all := make([]Registration, 0, len(r.current))
 	for _, registration := range r.current {
-		other, taken := newest[registration.Address]
-		if !taken || startedLater(registration, other) {
-			newest[registration.Address] = registration
-		}
-	}
-	all := make([]Registration, 0, len(newest))
-	for _, registration := range newest {
 		registration.Leaving = registration.Leaving || leaves(registration)
 		all = append(all, registration)
 	}
 	slices.SortFunc(all, func(a, b Registration) int { return cmp.Compare(a.ID, b.ID) })
 	return all
 }
-
-// startedLater reports whether a started after b; the ID breaks ties.
-func startedLater(a, b Registration) bool {
-	if a.Born != b.Born {
-		return a.Born > b.Born
-	}
-	return a.ID > b.ID
-}
