relay: an entry that isn't there gives its address back

An operator would see an upstream without requests for as long as another writer's entry has its address, a service that a route uses and a later start. Requests are refused with 503 if it is the only upstream.

Cause: the entry that started last has the address. A reply 421 showed that its upstream isn't there and put it out of use, but not the other one into use.

Change: an upstream that a reply has shown not to be at its address takes over none. The relay looks again at its next Tick (250 ms). Only services that a route uses take over an address now, not those of the table's services that none uses: no request would go there and show that the upstream is missing. What the rule protects stays: each node makes at most one request to an upstream that has ended before its address is left to the next one.

Not told apart: until the first request meets the 421, the sound upstream has no requests.

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -248,6 +248,7 @@
 		return
 	}
 	a.upstreamReplica.Data.shutDown()
+	s.relay.replicaReplaced.Store(true)
 	s.relay.config.Log.Info("upstreamReplaced", "service", s.name, "upstream", a.upstreamReplica.Registration.ID,
 		"address", a.upstreamReplica.Registration.Address, "requestID", a.request.ID)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -74,6 +74,10 @@
 	mu           sync.Mutex
 	routingState atomic.Pointer[routingState]
 
+	// replicaReplaced is true from when a reply shows that an upstream is not at its
+	// address until the next Tick.
+	replicaReplaced atomic.Bool
+
 	inProgress       atomic.Int64
 	splitCount       atomic.Uint64
 	hedgeDelays      hedgeDelays
@@ -122,9 +126,18 @@
 	if old.table != nil && table.Version() <= old.table.Version() {
 		return
 	}
+	r.replaceTable(table)
+	r.hedgeDelays.retain(table)
+	r.deadlineTrackers.retain(table)
+}
+
+// replaceTable replaces the table and decides anew which upstreams are reachable; mu must
+// be held.
+func (r *Relay) replaceTable(table *route.Table) {
+	old := r.routingState.Load()
 	next := *old
 	next.table = table
-	reachable := reachableUpstreams(table, old.registrations)
+	reachable := old.reachableUpstreams(table, old.registrations)
 	if !slices.Equal(reachable, old.reachable) {
 		next.services = r.updateServices(old.services, table, reachable)
 		next.reachable = reachable
@@ -132,8 +145,6 @@
 	next.upstreamZones = upstream.Zones(reachable, table.Shards())
 	r.routingState.Store(&next)
 	r.updateLimits(&next)
-	r.hedgeDelays.retain(table)
-	r.deadlineTrackers.retain(table)
 }
 
 // SetUpstreams replaces the registrations of all upstreams.
@@ -141,7 +152,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.routingState.Load()
-	reachable := reachableUpstreams(old.table, registrations)
+	reachable := old.reachableUpstreams(old.table, registrations)
 	next := routingState{
 		table:          old.table,
 		upstreamsKnown: true,
@@ -154,12 +165,18 @@
 	r.updateLimits(&next)
 }
 
-// reachableUpstreams returns the registrations whose address no upstream of a service in
-// the table has taken over.
-func reachableUpstreams(table *route.Table, registrations []upstream.Registration) []upstream.Registration {
+// reachableUpstreams returns the registrations whose address no other upstream has taken
+// over. Only those of services that get requests by the table can, unless a reply has shown
+// that they are not there.
+func (s *routingState) reachableUpstreams(table *route.Table, registrations []upstream.Registration) []upstream.Registration {
+	replaced := map[string]upstream.Registration{}
+	for _, svc := range s.services {
+		for _, registration := range svc.replacedRegistrations() {
+			replaced[registration.ID] = registration
+		}
+	}
 	return upstream.WithoutReplaced(registrations, func(registration upstream.Registration) bool {
-		_, configured := table.Service(registration.Service)
-		return configured || table.UsesService(registration.Service)
+		return table.UsesService(registration.Service) && !replaced[registration.ID].SameProcess(registration)
 	})
 }
 
@@ -241,11 +258,15 @@
 	}
 }
 
-// Tick updates limits that depend on the number of nodes and closes idle
-// connections that upstreams are about to close. It is to be called regularly.
+// Tick updates limits that depend on the number of nodes, closes idle connections that
+// upstreams are about to close, and uses addresses again for the upstreams that had them
+// before those that replies have shown not to be there. It is to be called regularly.
 func (r *Relay) Tick() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.replicaReplaced.Swap(false) {
+		r.replaceTable(r.routingState.Load().table)
+	}
 	current := r.routingState.Load()
 	r.updateLimits(current)
 	now := time.Now()
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -308,6 +308,19 @@
 	}
 }
 
+// replacedRegistrations returns the registrations of upstreams that replies have shown not
+// to be at their addresses.
+func (s *service) replacedRegistrations() (replaced []upstream.Registration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.replicaGroup.Replicas() {
+		if r.Replaced() {
+			replaced = append(replaced, r.Registration)
+		}
+	}
+	return replaced
+}
+
 // maxIdleConnections returns the maximum number of idle connections to one replica.
 func (s *service) maxIdleConnections() int {
 	s.mu.Lock()
--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -263,6 +263,11 @@
 	replica.replaced, replica.state.leaving = true, true
 }
 
+// Replaced reports whether MarkReplaced was called.
+func (r *Replica[C]) Replaced() bool {
+	return r.replaced
+}
+
 // Start records the start of an attempt.
 func (g *Group[C]) Start(replica *Replica[C], now time.Time) {
 	replica.state.inFlight++
