--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -16,6 +16,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -73,6 +74,10 @@
 	mu           sync.Mutex
 	routingState atomic.Pointer[routingState]
 
+	// replicaReplaced is true from when a reply shows that an upstream is not at its
+	// address until the next Tick.
+	replicaReplaced atomic.Bool
+
 	inProgress atomic.Int64
 	leaving    atomic.Pointer[leaving]
 	// answerNow is closed when all requests in progress must be answered.
@@ -95,9 +100,11 @@
 	services map[string]*service
 	// upstreamsKnown is true once SetUpstreams has been called.
 	upstreamsKnown bool
-	// registrations holds the registrations of all upstreams, and upstreamZones the
-	// availability zones that hold upstreams of the shards.
+	// registrations holds all registrations, and reachable those of them whose address
+	// no other upstream has taken over.
 	registrations []upstream.Registration
+	reachable     []upstream.Registration
+	// upstreamZones holds the availability zones that hold upstreams of the shards.
 	upstreamZones []string
 }
 
@@ -126,13 +133,25 @@
 	if old.table != nil && table.Version() <= old.table.Version() {
 		return
 	}
+	r.replaceTable(table)
+	r.hedgeDelays.retain(table)
+	r.deadlineTrackers.retain(table)
+}
+
+// replaceTable replaces the table and decides anew which upstreams are reachable; mu must
+// be held.
+func (r *Relay) replaceTable(table *route.Table) {
+	old := r.routingState.Load()
 	next := *old
 	next.table = table
-	next.upstreamZones = upstream.Zones(next.registrations, table.Shards())
+	reachable := old.reachableUpstreams(table, old.registrations)
+	if !slices.Equal(reachable, old.reachable) {
+		next.services = r.updateServices(old.services, table, reachable)
+		next.reachable = reachable
+	}
+	next.upstreamZones = upstream.Zones(reachable, table.Shards())
 	r.routingState.Store(&next)
 	r.updateLimits(&next)
-	r.hedgeDelays.retain(table)
-	r.deadlineTrackers.retain(table)
 }
 
 // SetUpstreams replaces the registrations of all upstreams.
@@ -140,35 +159,59 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	old := r.routingState.Load()
+	reachable := old.reachableUpstreams(old.table, registrations)
 	next := routingState{
 		table:          old.table,
 		upstreamsKnown: true,
-		services:       make(map[string]*service, len(old.services)),
+		services:       r.updateServices(old.services, old.table, reachable),
 		registrations:  registrations,
-		upstreamZones:  upstream.Zones(registrations, old.table.Shards()),
+		reachable:      reachable,
+		upstreamZones:  upstream.Zones(reachable, old.table.Shards()),
+	}
+	r.routingState.Store(&next)
+	r.updateLimits(&next)
+}
+
+// reachableUpstreams returns the registrations whose address no other upstream has taken
+// over. Only those of services that get requests by the table can, unless a reply has shown
+// that they are not there.
+func (s *routingState) reachableUpstreams(table *route.Table, registrations []upstream.Registration) []upstream.Registration {
+	replaced := map[string]upstream.Registration{}
+	for _, svc := range s.services {
+		for _, registration := range svc.replacedRegistrations() {
+			replaced[registration.ID] = registration
+		}
 	}
+	return upstream.WithoutReplaced(registrations, func(registration upstream.Registration) bool {
+		return table.UsesService(registration.Service) && !replaced[registration.ID].SameProcess(registration)
+	})
+}
+
+// updateServices passes the registrations to their services, of which it returns those that
+// have one or are in the table.
+func (r *Relay) updateServices(old map[string]*service, table *route.Table, registrations []upstream.Registration) map[string]*service {
 	byService := map[string][]upstream.Registration{}
 	for _, registration := range registrations {
 		byService[registration.Service] = append(byService[registration.Service], registration)
 	}
-	for name, s := range old.services {
-		if len(byService[name]) > 0 || old.table.UsesService(name) {
-			next.services[name] = s
+	now := time.Now()
+	services := make(map[string]*service, len(old))
+	for name, s := range old {
+		if len(byService[name]) > 0 || table.UsesService(name) {
+			services[name] = s
 			continue
 		}
-		s.updateReplicas(time.Now(), nil)
+		s.updateReplicas(now, nil)
 	}
 	for name := range byService {
-		if next.services[name] == nil {
-			next.services[name] = newService(r, name)
+		if services[name] == nil {
+			services[name] = newService(r, name)
 		}
 	}
-	now := time.Now()
-	for name, s := range next.services {
+	for name, s := range services {
 		s.updateReplicas(now, byService[name])
 	}
-	r.routingState.Store(&next)
-	r.updateLimits(&next)
+	return services
 }
 
 // Fractions of a node's share of the connections that an upstream allows.
@@ -222,11 +265,15 @@
 	}
 }
 
-// Tick updates limits that depend on the number of nodes and closes idle
-// connections that upstreams are about to close. It is to be called regularly.
+// Tick updates limits that depend on the number of nodes, closes idle connections that
+// upstreams are about to close, and uses addresses again for the upstreams that had them
+// before those that replies have shown not to be there. It is to be called regularly.
 func (r *Relay) Tick() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.replicaReplaced.Swap(false) {
+		r.replaceTable(r.routingState.Load().table)
+	}
 	current := r.routingState.Load()
 	r.updateLimits(current)
 	now := time.Now()
