--- /dev/null
+++ b/internal/node/leave_test.go
@@ -0,0 +1,92 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/bronzereach/bronzereach/pkg/upstream"
+)
+
+// plainAdapter is an adapter that only serves callers, with its handler.
+type plainAdapter struct {
+	handler    http.HandlerFunc
+	answerNow  chan struct{}
+	inProgress atomic.Int64
+}
+
+func (a *plainAdapter) Run(ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+func (a *plainAdapter) Handler() http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		a.handler(w, r)
+	})
+}
+func (a *plainAdapter) Configure(uint64, []byte) error     { return nil }
+func (a *plainAdapter) Ready() bool                        { return true }
+func (a *plainAdapter) MarkUpstreamLeaving(string, string) {}
+func (a *plainAdapter) Upstreams() upstream.Snapshot       { return upstream.Snapshot{} }
+func (a *plainAdapter) Collectors() []prometheus.Collector { return nil }
+func (a *plainAdapter) Leave(time.Time)                    {}
+func (a *plainAdapter) CloseAdmission()                    {}
+func (a *plainAdapter) AnswerNow()                         { close(a.answerNow) }
+func (a *plainAdapter) InProgress() int64                  { return a.inProgress.Load() }
+
+// startPlainNode runs a node with the adapter.
+func startPlainNode(t *testing.T, a *plainAdapter, grace time.Duration) *Node {
+	t.Helper()
+	options := DefaultOptions()
+	options.VM, options.AvailabilityZone = "vm-0", "zone-0"
+	options.CallerAddress, options.PeerAddress = "127.0.0.1:0", "127.0.0.1:0"
+	options.Foreign = &ForeignOptions{}
+	options.NewAdapter = func(Host) Adapter { return a }
+	options.LeaveTime, options.GracePeriod = 10*time.Millisecond, grace
+	n, err := New(options, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = n.Run(context.Background()) }()
+	time.Sleep(100 * time.Millisecond)
+	return n
+}
+
+// TestShortGracePeriodAnswersRequestsInProgress checks that requests in progress are
+// answered within the grace period, however short that is.
+func TestShortGracePeriodAnswersRequestsInProgress(t *testing.T) {
+	for _, grace := range []time.Duration{100 * time.Millisecond, 300 * time.Millisecond, 400 * time.Millisecond, time.Second} {
+		t.Run(grace.String(), func(t *testing.T) {
+			a := &plainAdapter{answerNow: make(chan struct{})}
+			started := make(chan struct{})
+			a.handler = func(w http.ResponseWriter, _ *http.Request) {
+				a.inProgress.Add(1)
+				defer a.inProgress.Add(-1)
+				close(started)
+				<-a.answerNow
+				time.Sleep(time.Millisecond)
+				w.WriteHeader(http.StatusBadGateway)
+			}
+			n := startPlainNode(t, a, grace)
+			result := make(chan string, 1)
+			go func() {
+				response, err := http.Get("http://" + n.CallerAddress())
+				if err != nil {
+					result <- err.Error()
+					return
+				}
+				defer response.Body.Close()
+				result <- response.Status
+			}()
+			<-started
+			if err := n.Leave(context.Background()); err != nil {
+				t.Fatal(err)
+			}
+			if got := <-result; got != "502 Bad Gateway" {
+				t.Errorf("the request in progress ended with %q, want 502", got)
+			}
+		})
+	}
+}
