Failing test: an answer being written is cut 2 s after admission closes

Answers being written and bodies being read aren't in InProgress; stopCallers gives them shutdownTimeout, 2 s, however long the grace period is.

--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -90,3 +93,29 @@
 		})
 	}
 }
+
+// TestSlowReaderGetsItsAnswerWithinTheGracePeriod checks that an answer that is being
+// written is not cut while the grace period lasts.
+func TestSlowReaderGetsItsAnswerWithinTheGracePeriod(t *testing.T) {
+	const length, pause = 64 << 20, 3 * time.Second
+	a := &plainAdapter{answerNow: make(chan struct{})}
+	a.handler = func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Length", fmt.Sprint(length))
+		_, _ = w.Write(make([]byte, length))
+	}
+	n := startPlainNode(t, a, 30*time.Second)
+	c, err := net.Dial("tcp4", n.CallerAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	fmt.Fprint(c, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	time.Sleep(200 * time.Millisecond)
+	stopped := time.Now()
+	go func() { _ = n.Leave(context.Background()) }()
+	time.Sleep(pause)
+	got, err := io.Copy(io.Discard, c)
+	if got < length {
+		t.Errorf("%d of %d bytes, read %s after the stop with 30 s of grace: %v", got, length, time.Since(stopped).Round(time.Millisecond), err)
+	}
+}
