Failing test: SIGTERM and SIGINT while the node is built end it with a panic

The handler of the signals runs before Run, which sets n.cancel; Stop calls it: nil pointer dereference.

--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -119,3 +119,24 @@
 		t.Errorf("%d of %d bytes, read %s after the stop with 30 s of grace: %v", got, length, time.Since(stopped).Round(time.Millisecond), err)
 	}
 }
+
+// TestInterruptBeforeTheNodeRuns checks that signals that arrive while the node is built
+// end it in order.
+func TestInterruptBeforeTheNodeRuns(t *testing.T) {
+	a := &plainAdapter{answerNow: make(chan struct{})}
+	options := DefaultOptions()
+	options.VM, options.AvailabilityZone = "vm-0", "zone-0"
+	options.CallerAddress, options.PeerAddress = "127.0.0.1:0", "127.0.0.1:0"
+	options.Foreign = &ForeignOptions{}
+	options.NewAdapter = func(Host) Adapter { return a }
+	n, err := New(options, logr.Discard())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() {
+		if p := recover(); p != nil {
+			t.Errorf("Stop before Run: %v", p)
+		}
+	}()
+	n.Stop()
+}
