Failing tests: the product's own entry refuses what runs and takes what it can't answer

A request that must not be repeated and that is in progress at AnswerNow gets HTTP 503, which means "not run" everywhere else, with status unknown in the body. And Leave ignores answerBy, so that requests are run up to the end and interrupted.

--- /dev/null
+++ b/internal/entry/leaving_test.go
@@ -0,0 +1,89 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/bronzereach/bronzereach/internal/peer"
+	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/internal/wire"
+	"github.com/bronzereach/bronzereach/pkg/answer"
+	"github.com/bronzereach/bronzereach/pkg/document"
+	"github.com/bronzereach/bronzereach/pkg/member"
+	"github.com/bronzereach/bronzereach/pkg/query"
+)
+
+// leavingDocument has one kind of work that must not be repeated.
+const leavingDocument = `name = "test"
+[[rank]]
+name = "urgent"
+[[pool]]
+name = "orders"
+slots = 1
+connections = 8
+upstreams = ["127.0.0.1:1"]
+[[kind]]
+name = "order"
+rank = "urgent"
+pool = "orders"
+deadline = "20s"
+repeat = false
+`
+
+// newLeavingEntry returns an entry whose batches are in progress until the test ends;
+// served is closed once one is.
+func newLeavingEntry(t *testing.T) (e *Entry, served chan struct{}) {
+	const vm, incarnation = "vm-1", 7
+	recorder := timeline.NewRecorder(vm, logr.Discard())
+	parsed, err := document.Parse([]byte(leavingDocument))
+	if err != nil {
+		t.Fatal(err)
+	}
+	self := member.Member{VM: vm, Incarnation: incarnation, State: member.Ready, PeerAddress: "127.0.0.1:1"}
+	view := &View{Document: parsed, Self: self, Members: map[string]member.Member{vm: self}}
+	served = make(chan struct{})
+	ended := make(chan struct{})
+	t.Cleanup(func() { close(ended) })
+	e = New(Config{
+		VM: vm, Incarnation: incarnation, Recorder: recorder,
+		Network: peer.NewNetwork(peer.Config{VM: vm, Incarnation: incarnation, Clock: recorder.Clock}),
+		View:    func() *View { return view },
+		Serve: func(context.Context, *wire.Batch, func(*wire.SubReply)) {
+			close(served)
+			<-ended
+		},
+		ReportFailure: func(string) {},
+		Direct:        true,
+	})
+	return e, served
+}
+
+// TestInterruptedRunIsNotRefused checks that a request whose run is in progress as the
+// node ends is not answered 503, which callers take for "not run".
+func TestInterruptedRunIsNotRefused(t *testing.T) {
+	e, served := newLeavingEntry(t)
+	go func() {
+		<-served
+		e.AnswerNow()
+	}()
+	a := e.Answer(context.Background(), query.Request{Kind: "order", Key: e.issuer.Issue(time.Now(), 1)[0]})
+	if status := httpStatus(a); status == http.StatusServiceUnavailable {
+		t.Errorf("HTTP status %d, status %v, error %+v of a request that has been handed to its gate", status, a.Status, a.Error)
+	}
+}
+
+// TestLeavingEntryTakesOnlyWhatItCanAnswer checks that a request that can't be answered
+// before the process may be killed is refused, not run and interrupted.
+func TestLeavingEntryTakesOnlyWhatItCanAnswer(t *testing.T) {
+	e, _ := newLeavingEntry(t)
+	e.Leave(time.Now().Add(200 * time.Millisecond))
+	time.AfterFunc(200*time.Millisecond, e.AnswerNow)
+	a := e.Answer(context.Background(), query.Request{Kind: "order", Key: e.issuer.Issue(time.Now(), 1)[0]})
+	if a.Status != answer.NotRun {
+		t.Errorf("a request with a deadline of 20 s, received 200 ms before the end, has status %v, error %+v", a.Status, a.Error)
+	}
+}
