--- a/internal/logqueue/writer.go
+++ b/internal/logqueue/writer.go
@@ -13,20 +13,22 @@
 // queueLength is the number of lines that are buffered for a slow output.
 const queueLength = 1024
 
-// Writer is an io.Writer that never blocks. It is safe for concurrent use, except
-// that Close must come after the last Write.
+// Writer is an io.Writer that never blocks. It is safe for concurrent use; Close must be
+// called once.
 type Writer struct {
 	out   io.Writer
 	lines chan []byte
 	// dropped counts the lines dropped since the last logLinesDropped line.
 	dropped atomic.Int64
+	// closing is closed by Close. Lines that are written later are lost.
+	closing chan struct{}
 	// done is closed when run has ended.
 	done chan struct{}
 }
 
 // New returns a writer to out and starts its goroutine, which Close ends.
 func New(out io.Writer) *Writer {
-	w := &Writer{out: out, lines: make(chan []byte, queueLength), done: make(chan struct{})}
+	w := &Writer{out: out, lines: make(chan []byte, queueLength), closing: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
@@ -47,22 +49,46 @@
 	return w.dropped.Load()
 }
 
-// run writes the queued lines to the output. Write errors are ignored, because
-// there is nowhere else to report them.
+// run writes the queued lines to the output until the writer is closed and no line is
+// left.
 func (w *Writer) run() {
 	defer close(w.done)
-	for line := range w.lines {
-		if dropped := w.dropped.Swap(0); dropped > 0 {
-			_, _ = fmt.Fprintf(w.out, "msg=logLinesDropped lines=%d\n", dropped)
+	for {
+		select {
+		case line := <-w.lines:
+			w.writeLine(line)
+		case <-w.closing:
+			w.writeRest()
+			return
 		}
-		_, _ = w.out.Write(line)
 	}
 }
 
-// Close waits until the queued lines are written, for at most the timeout. Write
-// must not be called during or after Close.
+// writeRest writes the lines that are queued already.
+func (w *Writer) writeRest() {
+	for {
+		select {
+		case line := <-w.lines:
+			w.writeLine(line)
+		default:
+			return
+		}
+	}
+}
+
+// writeLine writes a line to the output. Errors are ignored, because there is nowhere
+// else to report them.
+func (w *Writer) writeLine(line []byte) {
+	if dropped := w.dropped.Swap(0); dropped > 0 {
+		_, _ = fmt.Fprintf(w.out, "msg=logLinesDropped lines=%d\n", dropped)
+	}
+	_, _ = w.out.Write(line)
+}
+
+// Close waits until the queued lines are written, for at most the timeout. Lines that
+// other goroutines write during or after Close may be lost.
 func (w *Writer) Close(timeout time.Duration) {
-	close(w.lines)
+	close(w.closing)
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
