--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -291,6 +291,10 @@
 	if a.Error == nil {
 		return http.StatusOK
 	}
+	if a.Error.Code == answer.CodeLeaving && a.Status == answer.Unknown {
+		// 503 would say that the request has not run.
+		return http.StatusGatewayTimeout
+	}
 	switch a.Error.Code {
 	case answer.CodeInvalid, answer.CodeKeyMissing:
 		return http.StatusBadRequest
