Proposal: the time left for the process to end is part of the answer reserve

A fifth of it, 100 ms as before with a grace period of 2 s or more. Grace periods of 400 ms and less left a negative time to write answers.

--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -18,6 +18,8 @@
 	// writing the last answers; at most answerReserveFraction of the grace period.
 	answerReserve         = 500 * time.Millisecond
 	answerReserveFraction = 0.25
+	// exitFraction is the fraction of that time that is left for the process to end.
+	exitFraction = 0.2
 )
 
 // callerFront is what serves callers: the entry, or the adapter to another platform.
@@ -76,8 +78,9 @@
 		return answerBy
 	}
 	killAt := left.Add(grace)
-	n.killAt.Store(&killAt)
 	reserve := min(answerReserve, time.Duration(answerReserveFraction*float64(grace)))
+	writeBy := killAt.Add(-time.Duration(exitFraction * float64(reserve)))
+	n.writeBy.Store(&writeBy)
 	return killAt.Add(-reserve)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -48,10 +48,8 @@
 	bodyTimeout    = 10 * time.Second
 	idleTimeout    = time.Minute
 	maxHeaderBytes = 16 << 10
-	// shutdownTimeout bounds the time to write the last answers, and exitReserve is the
-	// time left for the process to end.
+	// shutdownTimeout bounds the time to write the last answers.
 	shutdownTimeout = 2 * time.Second
-	exitReserve     = 100 * time.Millisecond
 )
 
 // Node is one process of the system: it serves callers and may be the gate of
@@ -76,11 +74,11 @@
 	callers      net.Listener
 	peers        net.Listener
 	callerServer *http.Server
-	// killAt is when the process may be killed, once it was told to leave; zero if that
-	// is not known.
-	killAt atomic.Pointer[time.Time]
-	cancel context.CancelFunc
-	done   chan struct{}
+	// writeBy is when the last answers must be written, once the node was told to leave;
+	// nil if that is not known.
+	writeBy atomic.Pointer[time.Time]
+	cancel  context.CancelFunc
+	done    chan struct{}
 }
 
 // New opens the node's listeners and creates its components. An address with
@@ -292,8 +290,8 @@
 
 // shutdownTime returns how long the last answers may take to be written.
 func (n *Node) shutdownTime() time.Duration {
-	if killAt := n.killAt.Load(); killAt != nil {
-		return min(shutdownTimeout, time.Until(killAt.Add(-exitReserve)))
+	if writeBy := n.writeBy.Load(); writeBy != nil {
+		return min(shutdownTimeout, time.Until(*writeBy))
 	}
 	return shutdownTimeout
 }
