Proposal: a node can be told to end before it runs

The context that ends Run is made in New, so that a signal while the node is built finds it, without a race. TestInterruptBeforeTheNodeRuns passes.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,8 +77,10 @@
 	// writeBy is when the last answers must be written, once the node was told to leave;
 	// nil if that is not known.
 	writeBy atomic.Pointer[time.Time]
-	cancel  context.CancelFunc
-	done    chan struct{}
+	// ending ends when Run is to end the node; cancel ends it.
+	ending context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
 }
 
 // New opens the node's listeners and creates its components. An address with
@@ -94,6 +96,7 @@
 		platform:    platform.NewClient(platform.Config{URL: options.Platform}),
 		done:        make(chan struct{}),
 	}
+	n.ending, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -242,7 +245,7 @@
 	defer util.Annotate(&err, "node %s", n.options.VM)
 	defer close(n.done)
 	ctx, cancel := context.WithCancel(ctx)
-	n.cancel = cancel
+	defer context.AfterFunc(n.ending, cancel)()
 	var group run.Group
 	parts := []func(context.Context) error{
 		n.timers.Run,
