Proposal: a leaving node waits for callers who send or read slowly

It counts requests from their headers to the written answer and, if it knows its grace period, drains until none is left: bodies being read and answers being written were cut 2 s after admission closed.

--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -85,11 +85,12 @@
 }
 
 // drain waits until no request is in progress. At answerBy, unless that is zero, it makes
-// all be answered. It logs how many there are, so that a process that is killed meanwhile
+// all be answered; only until such a time it waits for callers who send or read slowly,
+// as the server drops new requests once it shuts down. It logs how many there are, so that a process that is killed meanwhile
 // leaves a trace of them.
 func (n *Node) drain(ctx context.Context, left, answerBy time.Time) error {
 	nextLog := time.Now()
-	for n.inProgress() > 0 || n.gates.Busy() {
+	for n.inProgress() > 0 || n.gates.Busy() || !answerBy.IsZero() && n.handling.Load() > 0 {
 		now := time.Now()
 		if !answerBy.IsZero() && !now.Before(answerBy) {
 			n.logDrain("nodeOverdue", left)
@@ -111,7 +112,7 @@
 }
 
 func (n *Node) logDrain(message string, left time.Time) {
-	n.log.Info(message, "vm", n.options.VM, "inProgress", n.inProgress(), "gatesBusy", n.gates.Busy(),
+	n.log.Info(message, "vm", n.options.VM, "inProgress", n.inProgress(), "handling", n.handling.Load(), "gatesBusy", n.gates.Busy(),
 		"sinceStopMs", time.Since(left).Milliseconds())
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -69,6 +69,9 @@
 	keys        *keys.Store
 	// adapter connects to another platform; nil on the product's own.
 	adapter Adapter
+	// handling is the number of callers' requests whose body is being read, that are in
+	// progress, or whose answer is being written.
+	handling atomic.Int64
 
 	view         atomic.Pointer[entry.View]
 	callers      net.Listener
@@ -188,7 +191,7 @@
 		handler = n.adapter.Handler()
 	}
 	n.callerServer = &http.Server{
-		Handler:           handler,
+		Handler:           n.countRequests(handler),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
 		IdleTimeout:       idleTimeout,
@@ -196,6 +199,15 @@
 	}
 }
 
+// countRequests returns a handler that counts the requests that it passes on.
+func (n *Node) countRequests(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.handling.Add(1)
+		defer n.handling.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // peerSourceIP returns the source IP of outgoing peer connections: the IP of
 // the peer listener, or nil if that listens on all interfaces.
 func (n *Node) peerSourceIP() net.IP {
