--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -77,6 +77,7 @@
 	callers      net.Listener
 	peers        net.Listener
 	callerServer *http.Server
+	unused       *unusedConnections
 	// writeBy is when the last answers must be written, once the node was told to leave;
 	// nil if that is not known.
 	writeBy atomic.Pointer[time.Time]
@@ -190,7 +191,9 @@
 		n.registry.MustRegister(n.adapter.Collectors()...)
 		handler = n.adapter.Handler()
 	}
+	n.unused = newUnusedConnections()
 	n.callerServer = &http.Server{
+		ConnState:         n.unused.track,
 		Handler:           n.countRequests(handler),
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       bodyTimeout,
@@ -297,6 +300,7 @@
 func (n *Node) stopCallers() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.shutdownTime())
 	defer cancel()
+	n.unused.close()
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.log.Info("callersCut", "vm", n.options.VM, "inProgress", n.inProgress(), "error", err.Error())
 		_ = n.callerServer.Close()
