--- a/internal/node/callerconns.go
+++ b/internal/node/callerconns.go
@@ -50,6 +50,8 @@
 
 	mu   sync.Mutex
 	open int
+	// closing is true once idle connections are closed at once.
+	closing bool
 	// idle and reading hold the connections in these states, by the time at which they
 	// entered them.
 	idle, reading *list.List
@@ -93,10 +95,13 @@
 	}
 }
 
-// add registers a connection; nil if there is no room for it.
+// add registers a connection; nil if there is no room for it or the node ends.
 func (cs *callerConns) add(conn net.Conn, now time.Time) *callerConn {
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
+	if cs.closing {
+		return nil
+	}
 	if cs.open >= cs.config.Maximum {
 		longest := cs.idle.Front()
 		if longest == nil {
@@ -241,6 +246,18 @@
 	cs.sweepList(cs.idle, now.Add(-idle))
 }
 
+// close gives up all idle connections, and those that are accepted later. An http.Server
+// that shuts down waits for those on which no request has come yet, reads the requests
+// that come meanwhile and drops them.
+func (cs *callerConns) close() {
+	cs.mu.Lock()
+	defer cs.mu.Unlock()
+	cs.closing = true
+	for e := cs.idle.Front(); e != nil; e = cs.idle.Front() {
+		cs.giveUp(e.Value.(*callerConn))
+	}
+}
+
 // sweepList gives up the connections that entered their state before the given time.
 func (cs *callerConns) sweepList(l *list.List, before time.Time) {
 	for e := l.Front(); e != nil; e = l.Front() {
--- a/internal/node/callerconns_test.go
+++ b/internal/node/callerconns_test.go
@@ -116,6 +116,24 @@
 	}
 }
 
+// awaitIdle waits until the server sees the connection of the caller as the last one that
+// became idle.
+func (s *connServer) awaitIdle(t *testing.T, caller net.Conn) {
+	t.Helper()
+	deadline := time.Now().Add(2 * time.Second)
+	for time.Now().Before(deadline) {
+		s.conns.mu.Lock()
+		last := s.conns.idle.Back()
+		found := last != nil && last.Value.(*callerConn).RemoteAddr().String() == caller.LocalAddr().String()
+		s.conns.mu.Unlock()
+		if found {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	t.Fatal("the connection is not idle")
+}
+
 func TestIdleConnectionsMakeRoomForNewOnes(t *testing.T) {
 	s := newConnServer(t, 3, time.Second, time.Minute)
 	busy, longestIdle, idle := s.dial(t), s.dial(t), s.dial(t)
@@ -126,6 +144,7 @@
 		if err := get(conn, "/"); err != nil {
 			t.Fatal(err)
 		}
+		s.awaitIdle(t, conn)
 	}
 	if err := get(s.dial(t), "/"); err != nil {
 		t.Errorf("no room for a new connection: %v", err)
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -19,6 +19,8 @@
 	// writing the last answers; at most answerReserveFraction of the grace period.
 	answerReserve         = 500 * time.Millisecond
 	answerReserveFraction = 0.25
+	// exitFraction is the fraction of that time that is left for the process to end.
+	exitFraction = 0.2
 )
 
 // callerFront is what serves callers: the entry, or the adapter to another platform.
@@ -80,17 +82,18 @@
 		return answerBy
 	}
 	killAt := left.Add(grace)
-	n.killAt.Store(&killAt)
 	reserve := min(answerReserve, time.Duration(answerReserveFraction*float64(grace)))
+	writeBy := killAt.Add(-time.Duration(exitFraction * float64(reserve)))
+	n.writeBy.Store(&writeBy)
 	return killAt.Add(-reserve)
 }
 
-// drain waits until no request is in progress. At answerBy, unless that is zero, it makes
-// all be answered. It logs how many there are, so that a process that is killed meanwhile
-// leaves a trace of them.
+// drain waits until no request is in progress and, if answerBy is not zero, until callers
+// who send or read slowly are done. At answerBy it makes all requests be answered. It logs
+// how many there are, so that a process that is killed meanwhile leaves a trace of them.
 func (n *Node) drain(ctx context.Context, left, answerBy time.Time) error {
 	nextLog := time.Now()
-	for n.inProgress() > 0 || n.gates.Busy() {
+	for n.inProgress() > 0 || n.gates.Busy() || !answerBy.IsZero() && n.handling.Load() > 0 {
 		now := time.Now()
 		if !answerBy.IsZero() && !now.Before(answerBy) {
 			n.logDrain("nodeOverdue", left)
@@ -112,7 +115,7 @@
 }
 
 func (n *Node) logDrain(message string, left time.Time) {
-	n.log.Info(message, "vm", n.options.VM, "inProgress", n.inProgress(), "gatesBusy", n.gates.Busy(),
+	n.log.Info(message, "vm", n.options.VM, "inProgress", n.inProgress(), "handling", n.handling.Load(), "gatesBusy", n.gates.Busy(),
 		"sinceStopMs", time.Since(left).Milliseconds())
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,10 +58,8 @@
 	// callerDescriptorShare is the share of the process's file descriptors that
 	// connections of callers may use; the others are for upstreams, peers and the store.
 	callerDescriptorShare = 0.5
-	// shutdownTimeout bounds the time to write the last answers, and exitReserve is the
-	// time left for the process to end.
+	// shutdownTimeout bounds the time to write the last answers.
 	shutdownTimeout = 2 * time.Second
-	exitReserve     = 100 * time.Millisecond
 )
 
 // Node is one process of the system: it serves callers and may be the gate of
@@ -81,15 +79,22 @@
 	keys        *keys.Store
 	// adapter connects to another platform; nil on the product's own.
 	adapter Adapter
+	// handling is the number of callers' requests whose body is being read, that are in
+	// progress, or whose answer is being written.
+	handling atomic.Int64
+	// aborted is the number of requests that Stop has ended early.
+	aborted atomic.Int64
 
 	view         atomic.Pointer[entry.View]
 	callers      net.Listener
 	peers        net.Listener
 	callerConns  *callerConns
 	callerServer *http.Server
-	// killAt is when the process may be killed, once it was told to leave; zero if that
-	// is not known.
-	killAt atomic.Pointer[time.Time]
+	// writeBy is when the last answers must be written, once the node was told to leave;
+	// nil if that is not known.
+	writeBy atomic.Pointer[time.Time]
+	// ending ends when Run is to end the node; cancel ends it.
+	ending context.Context
 	cancel context.CancelFunc
 	done   chan struct{}
 }
@@ -107,6 +112,7 @@
 		platform:    platform.NewClient(platform.Config{URL: options.Platform}),
 		done:        make(chan struct{}),
 	}
+	n.ending, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
 		return nil, err
 	}
@@ -204,7 +210,7 @@
 		Log:      n.log,
 	})
 	n.callerServer = &http.Server{
-		Handler:        handler,
+		Handler:        n.countRequests(handler),
 		ReadTimeout:    bodyTimeout,
 		IdleTimeout:    serverIdleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
@@ -239,6 +245,15 @@
 	return min(limit.Cur, math.MaxInt32)
 }
 
+// countRequests returns a handler that counts the requests that it passes on.
+func (n *Node) countRequests(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n.handling.Add(1)
+		defer n.handling.Add(-1)
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // peerSourceIP returns the source IP of outgoing peer connections: the IP of
 // the peer listener, or nil if that listens on all interfaces.
 func (n *Node) peerSourceIP() net.IP {
@@ -288,7 +303,7 @@
 	defer util.Annotate(&err, "node %s", n.options.VM)
 	defer close(n.done)
 	ctx, cancel := context.WithCancel(ctx)
-	n.cancel = cancel
+	defer context.AfterFunc(n.ending, cancel)()
 	var group run.Group
 	parts := []func(context.Context) error{
 		n.timers.Run,
@@ -329,6 +344,7 @@
 func (n *Node) stopCallers() {
 	ctx, cancel := context.WithTimeout(context.Background(), n.shutdownTime())
 	defer cancel()
+	n.callerConns.close()
 	if err := n.callerServer.Shutdown(ctx); err != nil {
 		n.log.Info("callersCut", "vm", n.options.VM, "inProgress", n.inProgress(), "error", err.Error())
 		_ = n.callerServer.Close()
@@ -337,19 +353,23 @@
 
 // shutdownTime returns how long the last answers may take to be written.
 func (n *Node) shutdownTime() time.Duration {
-	if killAt := n.killAt.Load(); killAt != nil {
-		return min(shutdownTimeout, time.Until(killAt.Add(-exitReserve)))
+	if writeBy := n.writeBy.Load(); writeBy != nil {
+		return min(shutdownTimeout, time.Until(*writeBy))
 	}
 	return shutdownTimeout
 }
 
 // Stop ends the node at once. Requests in progress are answered with what is known of
-// them; their number is returned.
-func (n *Node) Stop() int64 {
-	interrupted := n.inProgress()
+// them.
+func (n *Node) Stop() {
+	n.aborted.Store(n.inProgress())
 	n.front().AnswerNow()
 	n.cancel()
-	return interrupted
+}
+
+// Aborted returns the number of requests that Stop has ended early.
+func (n *Node) Aborted() int64 {
+	return n.aborted.Load()
 }
 
 // Done is closed when Run has returned.
