The product's own entry refuses what it can't finish before it is killed

A request that must not be repeated, with 20 s left, was taken 200 ms before the node had to answer everything, run, and answered unknown. Its entry ignored answerBy.

Requests with a key are now refused if their whole time doesn't fit: a ticket of this process that it has not started with notRun, a caller's own key with unknown, as another node may have run it. Earlier submissions in progress are still waited for.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -131,13 +131,13 @@
 	if !found {
 		return e.refuse(view, request, id, received, refusal{code: answer.CodeNoSuchKind, message: "the configuration does not define this kind of work"})
 	}
-	if e.shutdown.closed.Load() {
-		return e.refuseLeaving(view, kind, request, id, received)
-	}
 	e.record(timeline.RequestReceived, id, kind.Name)
 	if !kind.Repeatable {
 		return e.executeKeyed(ctx, view, kind, request, id, received)
 	}
+	if e.shutdown.refuses(0) {
+		return e.refuse(view, request, id, received, leavingRefusal)
+	}
 	return e.run(ctx, view, kind, request, id, received)
 }
 
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -50,6 +50,11 @@
 	return k.entry.refuse(k.view, k.request, k.id, k.received, why)
 }
 
+// refusedByShutdown reports whether the node leaves and might end before the request.
+func (k *keyedRequest) refusedByShutdown() bool {
+	return k.entry.shutdown.refuses(timeLimit(k.request, k.kind))
+}
+
 // unknownAnswer returns the answer to a request that may or may not have run.
 func (k *keyedRequest) unknownAnswer(code answer.Code, message string, retry bool) *answer.Answer {
 	k.entry.record(timeline.RequestAnswered, k.id, string(code))
@@ -82,7 +87,11 @@
 		return k.refuse(refusal{code: answer.CodeTicketUnknown, message: "this node did not issue the ticket"})
 	}
 	age := time.Since(ticket.Issued)
-	if _, started := e.runs.Lookup(k.request.Key); !started && age > claim.TicketLifetime {
+	_, started := e.runs.Lookup(k.request.Key)
+	if !started && k.refusedByShutdown() {
+		return k.refuse(leavingRefusal)
+	}
+	if !started && age > claim.TicketLifetime {
 		if age < claim.Retention {
 			return k.refuse(refusal{code: answer.CodeTicketUnknown, message: "the ticket expired before it was used"})
 		}
@@ -142,6 +151,9 @@
 // if the claim succeeds.
 func (k *keyedRequest) handleCallerKey(ctx context.Context) *answer.Answer {
 	e := k.entry
+	if _, started := e.runs.Lookup(k.request.Key); !started && k.refusedByShutdown() {
+		return k.unknownAnswer(answer.CodeLeaving, "this node is shutting down; this submission did not run the request", true)
+	}
 	run, created := e.runs.Start(time.Now(), k.request.Key, requestHash(k.request))
 	if !created {
 		return k.awaitRun(ctx, run)
--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -6,16 +6,15 @@
 	"time"
 
 	"github.com/bronzereach/bronzereach/pkg/answer"
-	"github.com/bronzereach/bronzereach/pkg/document"
-	"github.com/bronzereach/bronzereach/pkg/query"
 )
 
-// leavingRetryAfter is the retry delay told to callers that are refused because the
-// node leaves: other nodes can serve them at once.
-const leavingRetryAfter = 10 * time.Millisecond
+// leavingRefusal refuses a request because the node leaves: other nodes can serve it.
+var leavingRefusal = refusal{answer.CodeLeaving, "this node is shutting down; others serve", true, 10 * time.Millisecond}
 
 // shutdown is how far an entry has shut down.
 type shutdown struct {
+	// answerBy is when every request must be answered; nil if there is no such time.
+	answerBy atomic.Pointer[time.Time]
 	// closed is true once no request is taken any more.
 	closed atomic.Bool
 	// ending ends when all requests in progress must be answered; end ends it.
@@ -29,19 +28,13 @@
 	return s
 }
 
-// Leave has nothing to prepare: callers' deadlines are short compared with the time
-// that a node has to shut down.
-func (e *Entry) Leave(time.Time) {}
-
-// CloseAdmission refuses all further requests.
-func (e *Entry) CloseAdmission() {
-	e.shutdown.closed.Store(true)
-}
-
-// AnswerNow answers all requests in progress with what is known of them.
-func (e *Entry) AnswerNow() {
-	e.CloseAdmission()
-	e.shutdown.end()
+// refuses reports whether a request that needs the given time is refused.
+func (s *shutdown) refuses(needed time.Duration) bool {
+	if s.closed.Load() {
+		return true
+	}
+	answerBy := s.answerBy.Load()
+	return answerBy != nil && time.Now().Add(needed).After(*answerBy)
 }
 
 // withEnding returns a context that also ends when requests must be answered.
@@ -54,12 +47,22 @@
 	}
 }
 
-// refuseLeaving refuses a request because the node no longer takes any. Whether one with
-// a key has run before is not looked up.
-func (e *Entry) refuseLeaving(view *View, kind document.Kind, request query.Request, id string, received time.Time) *answer.Answer {
-	a := e.refuse(view, request, id, received, refusal{answer.CodeLeaving, "this node is shutting down; others serve", true, leavingRetryAfter})
-	if !kind.Repeatable {
-		a.Status = answer.Unknown
+// Leave refuses requests that must not be repeated and might not be answered until
+// answerBy; zero if there is no such time. Others are taken, as they can be repeated at
+// another node.
+func (e *Entry) Leave(answerBy time.Time) {
+	if !answerBy.IsZero() {
+		e.shutdown.answerBy.Store(&answerBy)
 	}
-	return a
+}
+
+// CloseAdmission refuses all further requests.
+func (e *Entry) CloseAdmission() {
+	e.shutdown.closed.Store(true)
+}
+
+// AnswerNow answers all requests in progress with what is known of them.
+func (e *Entry) AnswerNow() {
+	e.CloseAdmission()
+	e.shutdown.end()
 }
--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -84,10 +84,7 @@
 // newScatter returns a scatter whose deadline is that of the kind, or an earlier one
 // that the request asks for.
 func (e *Entry) newScatter(request query.Request, kind document.Kind, id string, weight float64, received time.Time) *scatter {
-	limit := kind.Deadline
-	if asked := time.Duration(request.DeadlineMillis) * time.Millisecond; asked > 0 {
-		limit = min(limit, asked)
-	}
+	limit := timeLimit(request, kind)
 	return &scatter{
 		entry:    e,
 		kind:     kind,
@@ -100,6 +97,14 @@
 	}
 }
 
+// timeLimit returns how long a request may take.
+func timeLimit(request query.Request, kind document.Kind) time.Duration {
+	if asked := time.Duration(request.DeadlineMillis) * time.Millisecond; asked > 0 {
+		return min(kind.Deadline, asked)
+	}
+	return kind.Deadline
+}
+
 // execute pins a snapshot and gathers the replies of its shards in parts and
 // omitted, restarting if a version is gone. It returns a code if there is no
 // snapshot to read.
