A leaving node goes by how long requests of a route take, where it knows

Requests that must not be repeated were refused from the SIGTERM on if their timeout was about as long as the grace period, however quick they are; with all nodes stopped at once nobody took them, and callers were told that others would.

Cause: only the route's timeout counted. The relay now keeps the longest time that requests of each route took in the last 15 to 30 s. One that must not be repeated needs four times that, an idempotent one twice that or twice its objective; without anything known the first needs all its time, as before. Retry-After is 10 ms only while callers are sent to other nodes, and else 1 s.

--- a/internal/relay/leaving.go
+++ b/internal/relay/leaving.go
@@ -4,9 +4,18 @@
 	"time"
 )
 
-// leavingRetryAfter is the retry delay told to callers that are refused because the
-// node leaves: other nodes can serve them at once.
-const leavingRetryAfter = 10 * time.Millisecond
+const (
+	// leavingRetryAfter is the retry delay told to callers that are refused because the
+	// node leaves, if other nodes can serve them at once, and aloneRetryAfter the one if
+	// there are none.
+	leavingRetryAfter = 10 * time.Millisecond
+	aloneRetryAfter   = time.Second
+	// idempotentReserve and onceReserve are the time that a request must have on a node
+	// that leaves, in multiples of the longest that others of its route took lately: for
+	// idempotent requests, and for those that must not be repeated.
+	idempotentReserve = 2
+	onceReserve       = 4
+)
 
 // leaving says which requests a node that leaves still takes. The zero value takes all.
 type leaving struct {
@@ -23,25 +32,46 @@
 	return l
 }
 
-// refuses reports whether a request is refused because it might not be answered in
-// time.
-func (l leaving) refuses(now time.Time, request *Request) bool {
+// refuses reports whether a request is refused because it might not be answered in time.
+// longest is the longest that others of its route took lately; 0 if that is not known.
+func (l leaving) refuses(now time.Time, request *Request, longest time.Duration) bool {
 	if l.closed || l.answerBy.IsZero() {
 		return l.closed
 	}
-	return now.Add(timeNeeded(request)).After(l.answerBy)
+	return now.Add(timeNeeded(request, longest)).After(l.answerBy)
 }
 
-// timeNeeded returns how much time a request must have on a node that leaves. One that
-// must not be repeated needs all the time that it may take. An idempotent one that is
-// given up after the time in which such requests are usually answered can be repeated
-// at another node.
-func timeNeeded(request *Request) time.Duration {
-	longest := request.answerDeadline().Sub(request.Received)
-	if !request.Route.Idempotent || request.Route.TargetLatency <= 0 {
-		return longest
+// timeNeeded returns how much time a request must have on a node that leaves: all that it
+// may take, unless others of its route show that it needs less. An idempotent one can be
+// repeated elsewhere, so that twice its objective is enough.
+func timeNeeded(request *Request, longest time.Duration) time.Duration {
+	needed := request.answerDeadline().Sub(request.Received)
+	if !request.Route.Idempotent {
+		if longest > 0 {
+			needed = min(needed, onceReserve*longest)
+		}
+		return needed
+	}
+	if longest > 0 {
+		needed = min(needed, idempotentReserve*longest)
+	}
+	if objective := request.Route.TargetLatency; objective > 0 {
+		needed = min(needed, time.Duration(lateAnswerFactor*float64(objective)))
+	}
+	return needed
+}
+
+// refuseLeaving returns a refusal if the node leaves and might end before the request is
+// answered, and nil otherwise.
+func (r *Relay) refuseLeaving(request *Request) *Answer {
+	now := time.Now()
+	if !r.leaving.Load().refuses(now, request, r.answerTimes.longest(request.Route.Name, now)) {
+		return nil
+	}
+	if r.config.Fleet().Replaceable {
+		return refusal(ReasonLeaving, leavingRetryAfter)
 	}
-	return min(longest, time.Duration(lateAnswerFactor*float64(request.Route.TargetLatency)))
+	return refusal(ReasonLeaving, aloneRetryAfter)
 }
 
 // Leave makes the relay refuse the requests that might not be answered until answerBy,
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,6 +60,8 @@
 	Serves bool
 	// Others is the number of nodes that callers are not sent to.
 	Others int
+	// Replaceable is true if callers are sent to other nodes than this one.
+	Replaceable bool
 }
 
 // Relay forwards requests according to its routing table and the known
@@ -87,6 +89,7 @@
 	splitCount       atomic.Uint64
 	hedgeDelays      hedgeDelays
 	deadlineTrackers deadlineTrackers
+	answerTimes      answerTimes
 	wakeupDelay      wakeupDelay
 	logLimiter       logRateLimiter
 }
@@ -116,6 +119,7 @@
 		Metrics:          newMetrics(),
 		hedgeDelays:      newHedgeDelays(),
 		deadlineTrackers: newDeadlineTrackers(),
+		answerTimes:      newAnswerTimes(),
 		wakeupDelay:      newWakeupDelay(),
 		answerNow:        make(chan struct{}),
 	}
@@ -136,6 +140,7 @@
 	r.replaceTable(table)
 	r.hedgeDelays.retain(table)
 	r.deadlineTrackers.retain(table)
+	r.answerTimes.retain(table)
 }
 
 // replaceTable replaces the table and decides anew which upstreams are reachable; mu must
@@ -341,8 +346,7 @@
 		return &Answer{Outcome: NoRoute, Reason: ReasonNoRoute, Run: NotRun, ConfigVersion: s.table.Version()}
 	}
 	request.Route = matched
-	if r.leaving.Load().refuses(time.Now(), request) {
-		answer := refusal(ReasonLeaving, leavingRetryAfter)
+	if answer := r.refuseLeaving(request); answer != nil {
 		answer.ConfigVersion = s.table.Version()
 		return answer
 	}
@@ -354,6 +358,9 @@
 	request.prepared = prepared
 	f := r.newForwarder(request, s)
 	answer := f.run(ctx)
+	if now := time.Now(); answer.Run == Ran && answer.Outcome != CallerDisconnected {
+		r.answerTimes.add(matched.Name, now, now.Sub(request.Received))
+	}
 	answer.ConfigVersion = s.table.Version()
 	return answer
 }
