What has come by the end of the grace period is still delivered

Three details of a node's end, from the review: a reply that had come at the moment at which everything is answered could be lost to a 502, as select picks at random; answers to requests that began before the stop did not tell callers to reconnect elsewhere; the count of aborted requests was read without a lock while the handler wrote it.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -70,8 +70,9 @@
 	if err := n.Run(ctx); err != nil {
 		return exitFailed, err
 	}
-	log.Info("nodeEnded", "vm", options.VM, "cut", h.abortedRequests)
-	if h.abortedRequests > 0 {
+	aborted := n.Aborted()
+	log.Info("nodeEnded", "vm", options.VM, "cut", aborted)
+	if aborted > 0 {
 		return exitFailed, nil
 	}
 	return exitDone, nil
@@ -106,8 +107,6 @@
 	node    *node.Node
 	log     logr.Logger
 	signals <-chan os.Signal
-	// abortedRequests is the number of requests that an interrupt ended early.
-	abortedRequests int64
 }
 
 func (h *shutdownHandler) loop() {
@@ -116,8 +115,8 @@
 	defer cancel()
 	go h.run(cancel)
 	if err := h.node.Leave(ctx); err != nil {
-		h.abortedRequests = h.node.Stop()
-		h.log.Info("nodeStopped", "cut", h.abortedRequests)
+		h.node.Stop()
+		h.log.Info("nodeStopped", "cut", h.node.Aborted())
 	}
 }
 
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -106,6 +106,7 @@
 			f.plan.expectWakeup(f.relay.wakeupDelay.estimate())
 			f.hedge(time.Now())
 		case <-f.relay.answerNow:
+			f.handleQueued()
 			return f.buildLeavingAnswer(time.Now())
 		case <-ctx.Done():
 			return &Answer{Outcome: CallerDisconnected, Run: f.runStatus(), Attempts: f.attempts}
@@ -403,6 +404,32 @@
 	return answer
 }
 
+// handleQueued handles the events that have come already, without starting anything new.
+func (f *forwarder) handleQueued() {
+	for {
+		select {
+		case e := <-f.events:
+			f.handleLast(e)
+		default:
+			return
+		}
+	}
+}
+
+// handleLast handles an event of a request that is about to be answered.
+func (f *forwarder) handleLast(e forwarderEvent) {
+	s := &f.shards[e.shard]
+	switch {
+	case e.granted != nil:
+		s.service.returnGrant(time.Now(), e.granted)
+	case e.attempt != nil && e.reply != nil && e.reply.Success:
+		f.handleEvent(e)
+	case e.attempt != nil:
+		s.removeAttempt(e.attempt)
+		f.recordRunStatus(e)
+	}
+}
+
 // buildLeavingAnswer builds the answer of a request that is given up because the node
 // leaves.
 func (f *forwarder) buildLeavingAnswer(now time.Time) *Answer {
