A leaving node answers what is left a second before it is killed, not half a second

On a machine that runs many processes a node may not run for some hundred milliseconds just when it has to write its last answers; then they would be cut after all. The time left for them is a second now, a quarter of the grace period at most. What callers lose: a reply that would have come in that half second.

Evidence: the tests of leave_test.go and of short grace periods pass with it.

--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -17,7 +17,7 @@
 	drainLogInterval = time.Second
 	// answerReserve is the time before the end of the grace period that is left for
 	// writing the last answers; at most answerReserveFraction of the grace period.
-	answerReserve         = 500 * time.Millisecond
+	answerReserve         = time.Second
 	answerReserveFraction = 0.25
 	// exitFraction is the fraction of that time that is left for the process to end.
 	exitFraction = 0.2
