An attempt no longer reads a registration that a heartbeat replaces

Callers see nothing of it as a rule. An attempt read the ID, address and zone of its replica without the service's lock, while each heartbeat replaces the whole registration under it; a torn read can send a request with a wrong Expect-Instance. Attempts now use the registration that the replica began with, whose process is the same.

TestRegistrationChangesWhileInUse (-race), on the code before:

WARNING: DATA RACE --- FAIL: TestRegistrationChangesWhileInUse (0.00s)

--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -56,7 +56,7 @@
 	e, err := a.guardedExchange()
 	if err != nil {
 		a.service.relay.config.Log.Error(err, "attemptPanicked", "service", a.service.name,
-			"upstream", a.upstreamReplica.Registration.ID, "requestID", a.request.ID)
+			"upstream", a.upstreamReplica.Data.registration.ID, "requestID", a.request.ID)
 	}
 	e.attempt, e.shard = a, a.shard
 	e.elapsed = time.Since(a.started)
@@ -88,7 +88,7 @@
 
 // crossesZones reports whether the replica is in another availability zone.
 func (a *attempt) crossesZones() bool {
-	return a.upstreamReplica.Registration.AvailabilityZone != a.service.relay.config.AvailabilityZone
+	return a.upstreamReplica.Data.registration.AvailabilityZone != a.service.relay.config.AvailabilityZone
 }
 
 func (a *attempt) exchange() forwarderEvent {
@@ -101,7 +101,7 @@
 	}
 	if c == nil {
 		var err error
-		if c, err = dial(a.upstreamReplica.Registration.Address, time.Until(a.answerDeadline), a.service.relay.Metrics.upstreamBytes(a.crossesZones())); err != nil {
+		if c, err = dial(a.upstreamReplica.Data.registration.Address, time.Until(a.answerDeadline), a.service.relay.Metrics.upstreamBytes(a.crossesZones())); err != nil {
 			return forwarderEvent{run: NotRun, reason: ReasonUnreachable}
 		}
 	}
@@ -156,7 +156,7 @@
 }
 
 func (a *attempt) writeRequest(c *connection, timeLeft time.Duration) error {
-	err := a.service.relay.config.Protocol.WriteRequest(c.writer, a.request.prepared, a.upstreamReplica.Registration, timeLeft)
+	err := a.service.relay.config.Protocol.WriteRequest(c.writer, a.request.prepared, a.upstreamReplica.Data.registration, timeLeft)
 	if err != nil {
 		return err
 	}
@@ -248,8 +248,8 @@
 		return
 	}
 	a.upstreamReplica.Data.shutDown()
-	s.relay.config.Log.Info("upstreamReplaced", "service", s.name, "upstream", a.upstreamReplica.Registration.ID,
-		"address", a.upstreamReplica.Registration.Address, "requestID", a.request.ID)
+	s.relay.config.Log.Info("upstreamReplaced", "service", s.name, "upstream", a.upstreamReplica.Data.registration.ID,
+		"address", a.upstreamReplica.Data.registration.Address, "requestID", a.request.ID)
 }
 
 func (a *attempt) classifyOutcome(e forwarderEvent, now time.Time) replica.Outcome {
--- a/internal/relay/connection.go
+++ b/internal/relay/connection.go
@@ -31,7 +31,7 @@
 	return replica.NewGroup(replica.GroupConfig[*pool]{
 		Service:          service,
 		AvailabilityZone: zone,
-		NewData:          func(r upstream.Registration) *pool { return &pool{address: r.Address} },
+		NewData:          func(r upstream.Registration) *pool { return &pool{registration: r} },
 	})
 }
 
@@ -49,7 +49,8 @@
 
 // pool holds the idle connections to one upstream, the oldest first.
 type pool struct {
-	address string
+	// registration is the first one that was known of the upstream, and is not changed.
+	registration upstream.Registration
 
 	mu     sync.Mutex
 	idle   []*connection
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -63,3 +64,25 @@
 		}
 	}
 }
+
+// TestRegistrationChangesWhileInUse: an upstream registers again while an attempt at it is
+// in progress.
+func TestRegistrationChangesWhileInUse(*testing.T) {
+	r := New(Config{Fleet: func() Fleet { return Fleet{Serving: 1, Serves: true} }, Log: logr.Discard()})
+	registration := upstream.Registration{ID: "a", Service: "s", Address: "127.0.0.1:1", Slots: 1}
+	r.SetUpstreams([]upstream.Registration{registration})
+	s := r.routingState.Load().services["s"]
+	a := &attempt{
+		request: &Request{Route: &route.Route{}}, service: s, upstreamReplica: s.replicaGroup.Replicas()[0],
+		answerDeadline: time.Now().Add(time.Second), events: make(chan forwarderEvent, 1),
+	}
+	var heartbeats sync.WaitGroup
+	heartbeats.Go(func() {
+		for i := range 100 {
+			registration.Revision = upstream.Revision(i)
+			r.SetUpstreams([]upstream.Registration{registration})
+		}
+	})
+	a.run()
+	heartbeats.Wait()
+}
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -206,7 +206,7 @@
 		return
 	}
 	perSecond, limited := reply.RateLimit.PerSecond()
-	s.relay.config.Log.Info("upstreamRateLimit", "service", s.name, "upstream", a.upstreamReplica.Registration.ID,
+	s.relay.config.Log.Info("upstreamRateLimit", "service", s.name, "upstream", a.upstreamReplica.Data.registration.ID,
 		"limited", limited, "perSecond", perSecond, "requestID", a.request.ID, "linesSkipped", skipped)
 }
 
