Replicas and the registry keep what an upstream tells of itself

Nothing changes for callers yet. pkg/replica: a replica may be marked as leaving by its own word, or back off until a time, with a slow start after it whose beginning differs between nodes. Both survive new registrations of the same instance and end with it. pkg/upstream: the registry keeps the instances (ID and born) that told that they leave apart from what the store says, so that a later "draining" is still news for nodes of older builds, which can't read the new incarnation "born:N" in notices and pass it on.

--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -58,6 +58,8 @@
 	riskAt time.Time
 	// replaced is true once another upstream answered at this address.
 	replaced bool
+	// toldLeaving is true once the upstream told in a reply that it leaves.
+	toldLeaving bool
 	// shedUntil is the time until which other replicas are preferred because this
 	// one shed a request.
 	shedUntil time.Time
@@ -82,6 +84,8 @@
 	// median is the median latency of the replicas in seconds, as of the last
 	// Finish.
 	median float64
+	// removedBackoffs holds the backoffs of replicas that were removed before they ended.
+	removedBackoffs map[upstream.Instance]backoff
 }
 
 // GroupConfig holds the parameters of NewGroup.
@@ -95,7 +99,7 @@
 
 // NewGroup returns a group without replicas.
 func NewGroup[C any](config GroupConfig[C]) *Group[C] {
-	return &Group[C]{service: config.Service, zone: config.AvailabilityZone, newData: config.NewData, connections: 1, nodes: 1, rateShare: 1}
+	return &Group[C]{service: config.Service, zone: config.AvailabilityZone, newData: config.NewData, connections: 1, nodes: 1, rateShare: 1, removedBackoffs: map[upstream.Instance]backoff{}}
 }
 
 // Limits tell how much of the replicas this node may use.
@@ -122,10 +126,10 @@
 	for _, registration := range registrations {
 		replica := g.find(registration)
 		if replica == nil {
-			replica = &Replica[C]{Data: g.newData(registration), state: state{limit: math.Inf(1)}}
+			replica = &Replica[C]{Data: g.newData(registration), state: state{limit: math.Inf(1), backoff: g.removedBackoffs[registration.Instance()]}}
 		}
 		replica.Registration = registration
-		replica.state.leaving = replica.replaced || registration.Leaving
+		replica.state.leaving = replica.replaced || replica.toldLeaving || registration.Leaving
 		replica.coldUntil = now.Add(registration.ColdRemaining)
 		next = append(next, replica)
 	}
@@ -136,6 +140,7 @@
 		}
 	}
 	g.replicas = next
+	g.rememberBackoffs(now, ended)
 	return ended
 }
 
@@ -183,16 +188,16 @@
 
 // hasFreeSlot reports whether one more attempt may be in progress at a replica.
 func (g *Group[C]) hasFreeSlot(replica *Replica[C], now time.Time) bool {
-	return replica.state.usable(now) && replica.state.inFlight < g.attemptLimit(replica)
+	return replica.state.usable(now) && replica.state.inFlight < g.attemptLimit(replica, now)
 }
 
 // attemptLimit returns the number of attempts that may be in progress at a
-// replica. It falls when the replica sheds, so that requests wait at this node
+// replica. It grows slowly after a backoff and falls when the replica sheds, so that requests wait at this node
 // in order of rank instead of being sent and refused. This node's share of the
 // replica is at least one attempt.
-func (g *Group[C]) attemptLimit(replica *Replica[C]) int {
+func (g *Group[C]) attemptLimit(replica *Replica[C], now time.Time) int {
 	share := max(1, queueFactor*float64(replica.Registration.Slots)/float64(g.nodes))
-	return int(min(replica.state.limit, float64(g.connections), share))
+	return int(replica.state.backoff.limit(min(replica.state.limit, float64(g.connections), share), now))
 }
 
 // cost returns the expected time of one more attempt at the replica in
@@ -238,14 +243,14 @@
 }
 
 // CountUsable returns the number of replicas that may get attempts, and the time
-// until the first of the failed ones may get attempts again.
+// until the first of the others may get attempts again; 0 if none of them will.
 func (g *Group[C]) CountUsable(now time.Time) (count int, wait time.Duration) {
 	for _, replica := range g.replicas {
 		if replica.state.usable(now) {
 			count++
 			continue
 		}
-		if remaining := replica.state.downUntil.Sub(now); !replica.state.leaving && (wait == 0 || remaining < wait) {
+		if remaining := replica.state.usableAt().Sub(now); !replica.state.leaving && (wait == 0 || remaining < wait) {
 			wait = remaining
 		}
 	}
@@ -263,6 +268,14 @@
 	replica.replaced, replica.state.leaving = true, true
 }
 
+// MarkLeaving records that a replica told in a reply that it leaves. It gets no more
+// attempts, whatever is registered for it. MarkLeaving reports whether that is news.
+func (g *Group[C]) MarkLeaving(replica *Replica[C]) (news bool) {
+	news = !replica.toldLeaving
+	replica.toldLeaving, replica.state.leaving = true, true
+	return news
+}
+
 // Start records the start of an attempt.
 func (g *Group[C]) Start(replica *Replica[C], now time.Time) {
 	replica.state.inFlight++
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -97,6 +97,7 @@
 	sheds int
 	// downUntil is the time until which the upstream gets no attempts.
 	downUntil time.Time
+	backoff   backoff
 	// leaving stays true until another incarnation of the upstream is seen.
 	leaving     bool
 	incarnation string
@@ -194,7 +195,15 @@
 }
 
 func (u *state) usable(now time.Time) bool {
-	return !u.leaving && !now.Before(u.downUntil)
+	return !u.leaving && !now.Before(u.downUntil) && !u.backoff.active(now)
+}
+
+// usableAt returns when the upstream may get attempts unless it is leaving.
+func (u *state) usableAt() time.Time {
+	if u.backoff.until.After(u.downUntil) {
+		return u.backoff.until
+	}
+	return u.downUntil
 }
 
 func (u *state) hasFreeSlot() bool {
--- a/pkg/upstream/registration.go
+++ b/pkg/upstream/registration.go
@@ -25,6 +25,11 @@
 	Revision Revision
 }
 
+// Instance returns the identity of the process that announced the registration.
+func (r Registration) Instance() Instance {
+	return Instance{ID: r.ID, Born: r.Born}
+}
+
 // SameProcess reports whether both were announced by the same process.
 func (r Registration) SameProcess(other Registration) bool {
 	return r.ID == other.ID && r.Address == other.Address && r.Born == other.Born
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -34,6 +34,9 @@
 	restoredAt time.Time
 	// removed holds, by ID, when registrations were removed, for removalMemory.
 	removed map[string]time.Time
+	// told holds the instances that have told a node that they leave, with the time at
+	// which each was last known to be registered or was told of.
+	told map[Instance]time.Time
 }
 
 // leaveReport is a peer's report that an upstream is leaving or gone.
@@ -52,6 +55,7 @@
 		missing:  map[string]time.Time{},
 		reported: map[string]leaveReport{},
 		removed:  map[string]time.Time{},
+		told:     map[Instance]time.Time{},
 	}
 }
 
@@ -185,17 +189,18 @@
 			delete(r.removed, id)
 		}
 	}
+	r.expireTold(now)
 	return gone, changed || len(gone) > 0
 }
 
 // Snapshot returns the registrations as the store has them as of a revision, sorted
 // and selected as by All, and apart from them the reports of peers, to pass both on
-// to other nodes. Registrations that are missing from the store are not among them:
+// to other nodes. Those of instances that told that they leave are leaving. Registrations that are missing from the store are not among them:
 // another node would take them for present as of the revision and ignore the earlier
 // notices that they leave. The same goes for those that are reported to be leaving and
 // have not changed since the store was restored.
 func (r *Registry) Snapshot(revision Revision) Snapshot {
-	present := r.list(func(Registration) bool { return false })
+	present := r.list(r.toldLeaving)
 	present = slices.DeleteFunc(present, func(registration Registration) bool {
 		_, missing := r.missing[registration.ID]
 		return missing || registration.Revision.Era() < revision.Era() && r.reportedLeaving(registration)
@@ -213,7 +218,8 @@
 }
 
 // IsLeaving reports whether an upstream is known to be leaving, from its
-// registration or from a peer's report.
+// registration or from a peer's report. What the upstream told itself doesn't count:
+// nodes of older builds hear only of the former.
 func (r *Registry) IsLeaving(id string) bool {
 	registration, known := r.current[id]
 	return known && (registration.Leaving || r.reportedLeaving(registration))
@@ -253,7 +259,9 @@
 // All returns the registrations, sorted by ID and with the peers' reports
 // applied. Of several at one address it returns only the one that started last.
 func (r *Registry) All() []Registration {
-	return r.list(r.reportedLeaving)
+	return r.list(func(registration Registration) bool {
+		return r.reportedLeaving(registration) || r.toldLeaving(registration)
+	})
 }
 
 // list returns the registrations, sorted by ID. leaves reports whether a
