Requests that wait in vain for a service are refused at once

Callers whose request waited in the queue of a service got their refusal only when they were given up, though all its upstreams had meanwhile left or were gone; and a request that waited while the only replica was paused after failures was not granted when the pause ended, if no attempt ended then. The queue was looked at only when an attempt ended or a rate limit allowed one. Now a change of the registrations refuses those that wait in vain, and the end of a pause is scheduled like that of a rate limit.

On the code before:

--- FAIL: TestWaitersAreServedAfterAFailurePause (1.00s) not granted after the pause --- FAIL: TestWaitersOfRemovedUpstreamsAreRefused (0.00s) the request still waits

--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -146,6 +146,7 @@
 	ReasonNoRoute      Reason = "noRoute"
 	ReasonMalformed    Reason = "malformed"
 	ReasonNoUpstream   Reason = "noUpstream"
+	ReasonBackingOff   Reason = "backingOff"
 	ReasonNoCapacity   Reason = "noRoom"
 	ReasonNoBudget     Reason = "noBudget"
 	ReasonRateLimited  Reason = "rateLimited"
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -25,9 +25,10 @@
 	// arrival.
 	waiting []waiter
 	// grantTimer calls grantAllowed when a rate limit allows the next attempt, and is
-	// set to do so while grantScheduled is true.
-	grantTimer     *time.Timer
-	grantScheduled bool
+	// set to do so at grantAt unless that is zero. A replica that may be used again
+	// counts like one whose rate limit allows the next attempt.
+	grantTimer *time.Timer
+	grantAt    time.Time
 	// maxIdle bounds the idle connections to one replica.
 	maxIdle int
 }
@@ -70,6 +71,7 @@
 func (s *service) updateReplicas(now time.Time, registrations []upstream.Registration) {
 	s.mu.Lock()
 	removed := s.replicaGroup.Sync(now, registrations)
+	s.refuseStranded(now)
 	s.mu.Unlock()
 	for _, r := range removed {
 		r.Data.shutDown()
@@ -98,7 +100,7 @@
 		return reservation{replica: chosen}
 	}
 	if count, _ := s.replicaGroup.CountUsable(now); count == 0 {
-		return reservation{refused: ReasonNoUpstream}
+		return reservation{refused: s.unusableReason(now)}
 	}
 	// Others may have taken the turns that were left when availability was asked for.
 	position := s.countWaiters(w.forwarder.request.Route.Rank)
@@ -233,16 +235,15 @@
 	}
 }
 
-// scheduleGrant lets grantAllowed run when a rate limit allows the next attempt.
+// scheduleGrant lets grantAllowed run when a rate limit allows the next attempt, or when
+// a replica may be used again.
 func (s *service) scheduleGrant(now time.Time) {
-	if s.grantScheduled {
+	wait, ok := s.replicaGroup.NextGrant(now)
+	at := now.Add(wait)
+	if !ok || !s.grantAt.IsZero() && !at.Before(s.grantAt) {
 		return
 	}
-	wait, ok := s.replicaGroup.NextRateAllowed(now)
-	if !ok {
-		return
-	}
-	s.grantScheduled = true
+	s.grantAt = at
 	if s.grantTimer == nil {
 		s.grantTimer = time.AfterFunc(wait, s.grantAllowed)
 		return
@@ -254,7 +255,7 @@
 func (s *service) grantAllowed() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.grantScheduled = false
+	s.grantAt = time.Time{}
 	s.grantCapacity(time.Now())
 }
 
--- a/internal/relay/service_test.go
+++ b/internal/relay/service_test.go
@@ -178,3 +178,43 @@
 		t.Errorf("%d requests wait, want the urgent one", waiting)
 	}
 }
+
+// TestWaitersAreServedAfterAFailurePause: a request that waits while the only replica is
+// paused after failures gets it when the pause ends, though no attempt ends then.
+func TestWaitersAreServedAfterAFailurePause(t *testing.T) {
+	s := newSingleSlotService()
+	_, slot := s.sendRequest(1, time.Second)
+	f, _ := s.sendRequest(1, time.Second)
+	s.service.replicaGroup.Finish(slot, s.now, replica.Failed, 0)
+	s.service.replicaGroup.Start(slot, s.now)
+	s.service.recordOutcome(s.now, &attempt{upstreamReplica: slot}, replica.Failed, forwarderEvent{})
+	select {
+	case e := <-f.events:
+		if e.granted == nil {
+			t.Errorf("refused as %s", e.refused)
+		}
+	case <-time.After(time.Second):
+		t.Error("not granted after the pause")
+	}
+}
+
+// TestWaitersOfRemovedUpstreamsAreRefused: requests that wait are refused at once when the
+// store lists no upstream any more, or only ones that leave.
+func TestWaitersOfRemovedUpstreamsAreRefused(t *testing.T) {
+	for name, next := range map[string][]upstream.Registration{
+		"gone": nil, "leaving": {{ID: "a", Address: "a", Slots: 2, Leaving: true}},
+	} {
+		s := newSingleSlotService()
+		s.sendRequest(1, time.Second)
+		f, _ := s.sendRequest(1, time.Second)
+		s.service.updateReplicas(s.now, next)
+		select {
+		case e := <-f.events:
+			if e.refused != ReasonNoUpstream {
+				t.Errorf("%s: refused as %q", name, e.refused)
+			}
+		default:
+			t.Errorf("%s: the request still waits", name)
+		}
+	}
+}
