An upstream that says that it leaves gets no more requests

Callers' requests went on to an upstream that had answered with Server-Leaving: 1 for as long as the store listed it as ready, and so waited for or lost what it didn't take any more. Now the head of any reply counts as soon as it is read: whole, broken off, too long, to another request, a failure, a refusal, a part of a wide query, one that lost against a hedge; not of status 421, which another upstream sends. The replica gets no attempt from then on. Registrations of the instance, which change each second, don't matter; a later born or another ID at the address is used at once. Requests that wait when the last replica leaves are refused at once.

upstreamLeaving source=reply names the request whose answer decided; bronzereach_relay_unused_upstreams counts.

On the code before (platform/upstreamstate_test.go):

--- FAIL: TestLeavingReplyEndsUse/whole: the upstream got 10 requests, want 1 --- FAIL: TestLeavingReplyEndsUse/refusal: got 11, want 1; /rejection: 11 --- FAIL: TestLeavingReplyEndsUse/failure: got 2, want 1; /brokenOff, /tooLong, /anotherRequest, /unsigned: 2 (then paused as failing) --- FAIL: TestLeavingPartEndsUse: the upstream got 57 requests, want 1 --- FAIL: TestLateLeavingReplyEndsUse: got 2 requests after its reply --- FAIL: TestNextInstanceIsUsedAtOnce/sameID, /otherID: got answered --- FAIL: TestWaitingForLeavingServiceIsRefused: 0 of 5 were refused

--- a/internal/relay/answerlog.go
+++ b/internal/relay/answerlog.go
@@ -116,6 +116,8 @@
 	latency     *prometheus.HistogramVec
 	omitted     *prometheus.CounterVec
 	undelivered prometheus.Counter
+	// unused counts the upstreams that get nothing, by cause.
+	unused *prometheus.GaugeVec
 }
 
 func newMetrics() *Metrics {
@@ -149,12 +151,16 @@
 			Name: "bronzereach_relay_undelivered_answers_total",
 			Help: "Answers that could not be written to their callers.",
 		}),
+		unused: prometheus.NewGaugeVec(prometheus.GaugeOpts{
+			Name: "bronzereach_relay_unused_upstreams",
+			Help: "Registered upstreams that get no attempts of this node, by cause.",
+		}, []string{"cause"}),
 	}
 }
 
 // Collectors returns the collectors to register.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answers, m.attempts, m.rateLimited, m.bytes, m.latency, m.omitted, m.undelivered}
+	return []prometheus.Collector{m.answers, m.attempts, m.rateLimited, m.bytes, m.latency, m.omitted, m.undelivered, m.unused}
 }
 
 func (m *Metrics) countAnswer(answer *Answer, elapsed time.Duration) {
@@ -173,6 +179,12 @@
 	m.rateLimited.WithLabelValues(cause).Inc()
 }
 
+// setUnused sets the number of upstreams that are leaving and that back off.
+func (m *Metrics) setUnused(leaving, backingOff int) {
+	m.unused.WithLabelValues("leaving").Set(float64(leaving))
+	m.unused.WithLabelValues("backingOff").Set(float64(backingOff))
+}
+
 // upstreamBytes returns the counter of the bytes of connections to upstreams.
 func (m *Metrics) upstreamBytes(crossesZones bool) byteCounter {
 	return m.bytes.WithLabelValues(zoneLabel(crossesZones))
--- a/internal/relay/attempt.go
+++ b/internal/relay/attempt.go
@@ -133,7 +133,9 @@
 	} else {
 		written <- a.writeRequest(c, timeLeft)
 	}
+	c.reader.observe = a.recordUpstreamState
 	reply, err := a.service.relay.config.Protocol.ReadReply(c.reader, a.request)
+	c.reader.observe = nil
 	select {
 	case writeErr := <-written:
 		if err == nil && writeErr != nil {
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -97,6 +97,15 @@
 	IdleTimeout time.Duration
 }
 
+// UpstreamState is what the head of a reply says of the upstream itself, whichever
+// request the reply is to. It is passed by value.
+type UpstreamState struct {
+	// Status is the status of the reply.
+	Status int
+	// Leaving is true if the upstream shuts down and must get no new requests.
+	Leaving bool
+}
+
 // Protocol encodes requests to upstreams and decodes their replies.
 type Protocol interface {
 	// Prepare renders what all attempts of a request share. It returns an error if
@@ -105,7 +114,8 @@
 	// WriteRequest writes an attempt. The upstream may work on it for timeLeft.
 	WriteRequest(w *bufio.Writer, prepared PreparedRequest, to upstream.Registration, timeLeft time.Duration) error
 	// ReadReply reads a reply to the request. It returns an error if the reply is
-	// incomplete or too long.
+	// incomplete or too long. It reports what the reply's head says of the upstream
+	// to r, also if the reply turns out to be incomplete, too long or not valid.
 	ReadReply(r *ReplyReader, request *Request) (*Reply, error)
 }
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,7 +48,10 @@
 	Budget budget.Config
 	// Fleet returns the nodes that send requests to the upstreams.
 	Fleet func() Fleet
-	Log   logr.Logger
+	// UpstreamLeaves is called, from any goroutine, when an upstream tells in a reply
+	// that it leaves; nil if nobody asks.
+	UpstreamLeaves func(upstream.Instance)
+	Log            logr.Logger
 }
 
 // Fleet tells how many nodes share what upstreams allow, such as connections.
@@ -230,9 +233,13 @@
 	current := r.routingState.Load()
 	r.updateLimits(current)
 	now := time.Now()
+	leaving, backingOff := 0, 0
 	for _, s := range current.services {
 		s.closeExpired(now)
+		l, b := s.countUnused(now)
+		leaving, backingOff = leaving+l, backingOff+b
 	}
+	r.Metrics.setUnused(leaving, backingOff)
 }
 
 // CanServe reports whether the relay can serve requests: it has a routing table, and
--- a/internal/relay/replyreader.go
+++ b/internal/relay/replyreader.go
@@ -16,6 +16,9 @@
 type ReplyReader struct {
 	*bufio.Reader
 	source *limitedSource
+	// observe is called with what the head of a reply says of the upstream; nil if
+	// nobody asks.
+	observe func(UpstreamState)
 }
 
 // NewReplyReader returns a reader that reads nothing until Allow is called.
@@ -24,6 +27,14 @@
 	return &ReplyReader{Reader: bufio.NewReaderSize(limited, bufferLength), source: limited}
 }
 
+// Report passes on what the head of a reply says of the upstream. A protocol calls it as
+// soon as it has read a head, as the rest of the reply may never come.
+func (r *ReplyReader) Report(state UpstreamState) {
+	if r.observe != nil {
+		r.observe(state)
+	}
+}
+
 // Allow lets the reader take up to count bytes from its source from now on; what is
 // buffered already comes in addition.
 func (r *ReplyReader) Allow(count int) {
