An upstream that names a Retry-After gets nothing of this node for so long

Callers' requests were sent to an upstream again milliseconds after it had answered 503 with Retry-After, were turned away again, and were told to come back after 2 s at most, whatever the upstream had named. Now no attempt starts at it until the time is over, counted from the reply's head, also if the body never comes; others get the work. Requests that wait when no replica is left are refused at once, and so are new ones, with the reason backingOff and the shortest time after which enough services may be asked; delays that are known are no longer cut to 2 s. Afterwards nodes begin up to a tenth later (1 s at most), each at another time, with one attempt first.

upstreamBacksOff names the request whose answer decided.

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -113,36 +113,6 @@
 	}
 }
 
-// refuseUnservable returns a refusal if too few of the services can take the request
-// before it would be given up, and nil otherwise.
-func (f *forwarder) refuseUnservable() *Answer {
-	now := time.Now()
-	left := f.plan.grantBy().Sub(now)
-	available, reason := 0, ReasonNoUpstream
-	wait := f.retryAfter
-	for i := range f.shards {
-		s := f.shards[i].service
-		if s == nil {
-			continue
-		}
-		a := s.availability(now, f.request.Route.Rank)
-		switch {
-		case a.usable > 0 && a.rateWait < left:
-			available++
-		case a.usable > 0:
-			// A caller who returns then still has to wait, but not for too long.
-			reason = ReasonRateLimited
-			wait = max(wait, a.rateWait-left)
-		case a.untilUsable > 0:
-			wait = min(wait, a.untilUsable)
-		}
-	}
-	if available >= f.plan.requiredShards {
-		return nil
-	}
-	return refusal(reason, clampRetryAfter(wait))
-}
-
 // startFirstAttempt starts the first attempt of a shard or queues the shard.
 func (f *forwarder) startFirstAttempt(i int) {
 	s := &f.shards[i]
@@ -394,7 +364,7 @@
 	case len(f.request.Route.Shards) == 0 && f.lastFailure != nil:
 		answer.Outcome, answer.Reply, answer.Reason = Answered, f.lastFailure, ReasonFailureReply
 	case answer.Run == NotRun:
-		answer.Outcome, answer.Reason, answer.RetryAfter = Refused, f.reason(), clampRetryAfter(f.retryAfter)
+		answer.Outcome, answer.Reason, answer.RetryAfter = Refused, f.reason(), f.retryDelay(now)
 	case !now.Before(f.plan.answerDeadline):
 		answer.Outcome, answer.Reason = TimedOut, ReasonDeadline
 	default:
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -104,6 +104,9 @@
 	Status int
 	// Leaving is true if the upstream shuts down and must get no new requests.
 	Leaving bool
+	// RetryAfter is how long the upstream wants no requests of this node; 0 if it has
+	// named no time.
+	RetryAfter time.Duration
 }
 
 // Protocol encodes requests to upstreams and decodes their replies.
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -21,7 +21,8 @@
 	// lateAnswerFactor is how long a late answer waits for its last shards, in
 	// multiples of the objective and from when the caller started.
 	lateAnswerFactor = 2.0
-	// minRetryAfter and maxRetryAfter bound the retry delay told to refused callers.
+	// minRetryAfter is the shortest retry delay told to refused callers, maxRetryAfter
+	// the longest one if nothing tells when they can be served.
 	minRetryAfter = 50 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
 )
@@ -91,7 +92,7 @@
 	}
 	p.answerBy = p.latestAnswer
 	p.expectWakeup(expected.wakeup)
-	p.retryAfter = p.answerBy.Sub(p.hedgeAt)
+	p.retryAfter = min(p.answerBy.Sub(p.hedgeAt), maxRetryAfter)
 	if matched.Idempotent {
 		p.hedgeRoundsLeft = hedgeRounds
 	}
@@ -175,7 +176,3 @@
 	}
 	return b
 }
-
-func clampRetryAfter(retryAfter time.Duration) time.Duration {
-	return min(max(retryAfter, minRetryAfter), maxRetryAfter)
-}
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -280,6 +280,9 @@
 	// rateWait is how long the rate limits of the usable replicas keep the request
 	// waiting.
 	rateWait time.Duration
+	// backsOff is true if the upstreams themselves have told until when none of the
+	// replicas may be used.
+	backsOff bool
 }
 
 // availability returns when the service can take one more request of the rank.
@@ -288,6 +291,7 @@
 	defer s.mu.Unlock()
 	a.usable, a.untilUsable = s.replicaGroup.CountUsable(now)
 	a.rateWait = s.replicaGroup.RateWait(now, s.countWaiters(rank))
+	a.backsOff = s.unusableReason(now) == ReasonBackingOff
 	return a
 }
 
--- a/internal/relay/upstreamstate.go
+++ b/internal/relay/upstreamstate.go
@@ -8,6 +8,8 @@
 type stateChange struct {
 	// news is true if the upstream was in use before.
 	news bool
+	// until is when the upstream may be used again; zero if it never may.
+	until time.Time
 	// usable is the number of replicas that may still be used, refused that of the
 	// waiting requests that were refused.
 	usable, refused int
@@ -16,6 +18,10 @@
 // recordUpstreamState takes over what the head of a reply says of the upstream.
 func (a *attempt) recordUpstreamState(state UpstreamState) {
 	now := time.Now()
+	if state.RetryAfter > 0 {
+		change := a.service.backOff(now, a.upstreamReplica, state.RetryAfter)
+		a.logStateChange("upstreamBacksOff", state, change)
+	}
 	if !state.Leaving {
 		return
 	}
@@ -45,6 +51,9 @@
 		"source", "reply", "requestID", a.request.ID, "status", state.Status, "sentMsAgo", now.Sub(a.started).Milliseconds(),
 		"usable", change.usable, "refused", change.refused,
 	}
+	if !change.until.IsZero() {
+		values = append(values, "retryAfterMs", state.RetryAfter.Milliseconds(), "unusedMs", change.until.Sub(now).Milliseconds())
+	}
 	a.service.relay.config.Log.Info(message, append(values, "linesSkipped", skipped)...)
 }
 
@@ -55,6 +64,15 @@
 	return s.stateChange(now, s.replicaGroup.MarkLeaving(r))
 }
 
+// backOff records that a replica wants no requests for a time.
+func (s *service) backOff(now time.Time, r *upstreamReplica, retryAfter time.Duration) stateChange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	change := s.stateChange(now, s.replicaGroup.BackOff(r, now, now.Add(retryAfter), s.random))
+	change.until = r.BacksOffUntil()
+	return change
+}
+
 // stateChange refuses the requests that now wait in vain and returns what has changed.
 func (s *service) stateChange(now time.Time, news bool) stateChange {
 	refused := s.refuseStranded(now)
