What a late reply tells counts though its upstream has registered again

A registration that lapsed and came back while an attempt was in progress left the attempt with a replica that was no longer in use, and the Retry-After of its reply with it. The reply now counts for the replica of the same process, and is kept if there is none yet.

TestBackoffIsKept, extended by such replies, on the code before:

[rapid] failed after 0 tests: chosen 1s too soon

--- a/pkg/replica/backoff.go
+++ b/pkg/replica/backoff.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -49,6 +50,7 @@
 // never shortened. BackOff reports whether the replica was not backing off before, or
 // for a much shorter time.
 func (g *Group[C]) BackOff(replica *Replica[C], now, until time.Time, random *rand.Rand) (news bool) {
+	replica = g.current(replica)
 	state := &replica.state
 	if !until.After(now) || !until.After(state.backoff.until) {
 		return false
@@ -57,6 +59,9 @@
 	spread := min(backoffSpread*until.Sub(now).Seconds(), maxBackoffSpread.Seconds())
 	until = until.Add(time.Duration(random.Float64() * spread * float64(time.Second)))
 	state.backoff = state.backoff.WithEnd(now, until)
+	if !slices.Contains(g.replicas, replica) {
+		g.rememberBackoffs(now, []*Replica[C]{replica})
+	}
 	return news
 }
 
--- a/pkg/replica/backoff_test.go
+++ b/pkg/replica/backoff_test.go
@@ -14,23 +14,27 @@
 	rapid.Check(t, func(t *rapid.T) {
 		s := newGroupSimulation(1)
 		registration := s.group.Replicas()[0].Registration
-		latest := s.now
+		latest, known := s.now, s.group.Replicas()[:1:1]
 		for range rapid.IntRange(1, 20).Draw(t, "steps") {
 			s.now = s.now.Add(time.Duration(rapid.IntRange(0, 500).Draw(t, "passed")) * time.Millisecond)
 			replica := s.group.Replicas()[0]
 			switch rapid.IntRange(0, 3).Draw(t, "step") {
 			case 0:
 				until := s.now.Add(time.Duration(rapid.IntRange(-10, 2000).Draw(t, "named")) * time.Millisecond)
-				s.group.BackOff(replica, s.now, until, s.random)
-				if until.After(latest) {
-					latest = until
-				}
+				// The reply may be to a request sent before the upstream registered again.
+				s.group.BackOff(rapid.SampledFrom(known).Draw(t, "replica"), s.now, until, s.random)
+				latest = laterOf(latest, until)
 			case 1:
 				registration.Revision++
 				s.group.Sync(s.now, []upstream.Registration{registration})
 			case 2:
 				s.group.Sync(s.now, nil)
+				if rapid.Bool().Draw(t, "whileGone") {
+					s.group.BackOff(replica, s.now, s.now.Add(time.Second), s.random)
+					latest = laterOf(latest, s.now.Add(time.Second))
+				}
 				s.group.Sync(s.now, []upstream.Registration{registration})
+				known = append(known, s.group.Replicas()[0])
 			case 3:
 				s.group.Start(replica, s.now)
 				s.group.Finish(replica, s.now, Succeeded, time.Millisecond)
@@ -50,6 +54,13 @@
 	})
 }
 
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // TestBackoffEndsWithTheInstance: the next instance at the address is chosen at once.
 func TestBackoffEndsWithTheInstance(t *testing.T) {
 	s := newGroupSimulation(1)
--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -144,6 +144,16 @@
 	return ended
 }
 
+// current returns the replica of the same process that is in the group now. A reply may
+// come when its upstream was removed and has registered again. If there is none, current
+// returns the replica itself.
+func (g *Group[C]) current(replica *Replica[C]) *Replica[C] {
+	if found := g.find(replica.Registration); found != nil {
+		return found
+	}
+	return replica
+}
+
 func (g *Group[C]) find(registration upstream.Registration) *Replica[C] {
 	for _, replica := range g.replicas {
 		if replica.Registration.SameProcess(registration) {
@@ -192,9 +202,9 @@
 }
 
 // attemptLimit returns the number of attempts that may be in progress at a
-// replica. It grows slowly after a backoff and falls when the replica sheds, so that requests wait at this node
-// in order of rank instead of being sent and refused. This node's share of the
-// replica is at least one attempt.
+// replica. It grows slowly after a backoff and falls when the replica sheds, so
+// that requests wait at this node in order of rank instead of being sent and
+// refused. This node's share of the replica is at least one attempt.
 func (g *Group[C]) attemptLimit(replica *Replica[C], now time.Time) int {
 	share := max(1, queueFactor*float64(replica.Registration.Slots)/float64(g.nodes))
 	return int(replica.state.backoff.limit(min(replica.state.limit, float64(g.connections), share), now))
@@ -271,6 +281,7 @@
 // MarkLeaving records that a replica told in a reply that it leaves. It gets no more
 // attempts, whatever is registered for it. MarkLeaving reports whether that is news.
 func (g *Group[C]) MarkLeaving(replica *Replica[C]) (news bool) {
+	replica = g.current(replica)
 	news = !replica.toldLeaving
 	replica.toldLeaving, replica.state.leaving = true, true
 	return news
--- a/pkg/upstream/registry.go
+++ b/pkg/upstream/registry.go
@@ -195,7 +195,8 @@
 
 // Snapshot returns the registrations as the store has them as of a revision, sorted
 // and selected as by All, and apart from them the reports of peers, to pass both on
-// to other nodes. Those of instances that told that they leave are leaving. Registrations that are missing from the store are not among them:
+// to other nodes. Those of instances that told that they leave are leaving.
+// Registrations that are missing from the store are not among them:
 // another node would take them for present as of the revision and ignore the earlier
 // notices that they leave. The same goes for those that are reported to be leaving and
 // have not changed since the store was restored.
