--- a/internal/relay/upstreamstate.go
+++ b/internal/relay/upstreamstate.go
@@ -48,7 +48,7 @@
 	}
 	values := []any{
 		"service", a.service.name, "upstream", registration.ID, "born", registration.Born,
-		"source", "reply", "requestID", a.request.ID, "status", state.Status, "sentMsAgo", now.Sub(a.started).Milliseconds(),
+		"source", "reply", "requestID", a.request.ID, "status", state.Status, "ageMs", now.Sub(a.started).Milliseconds(),
 		"usable", change.usable, "refused", change.refused,
 	}
 	if !change.until.IsZero() {
