--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -100,6 +100,18 @@
 	IdleTimeout time.Duration
 }
 
+// UpstreamState is what the head of a reply says of the upstream itself, whichever
+// request the reply is to. It is passed by value.
+type UpstreamState struct {
+	// Status is the status of the reply.
+	Status int
+	// Leaving is true if the upstream shuts down and must get no new requests.
+	Leaving bool
+	// RetryAfter is how long the upstream wants no requests of this node; 0 if it has
+	// named no time.
+	RetryAfter time.Duration
+}
+
 // Protocol encodes requests to upstreams and decodes their replies.
 type Protocol interface {
 	// Prepare renders what all attempts of a request share. It returns an error if
@@ -108,7 +120,8 @@
 	// WriteRequest writes an attempt. The upstream may work on it for timeLeft.
 	WriteRequest(w *bufio.Writer, prepared PreparedRequest, to upstream.Registration, timeLeft time.Duration) error
 	// ReadReply reads a reply to the request. It returns an error if the reply is
-	// incomplete or too long.
+	// incomplete or too long. It reports what the reply's head says of the upstream
+	// to r, also if the reply turns out to be incomplete, too long or not valid.
 	ReadReply(r *ReplyReader, request *Request) (*Reply, error)
 }
 
@@ -149,6 +162,7 @@
 	ReasonNoRoute      Reason = "noRoute"
 	ReasonMalformed    Reason = "malformed"
 	ReasonNoUpstream   Reason = "noUpstream"
+	ReasonBackingOff   Reason = "backingOff"
 	ReasonNoCapacity   Reason = "noRoom"
 	ReasonNoBudget     Reason = "noBudget"
 	ReasonRateLimited  Reason = "rateLimited"
