After a start of all nodes somebody follows the store closely

What callers saw: after all nodes were killed, requests reached upstreams whose entry had been removed more than 3 s before, and, where stale reads lag by 4.5 s, ran by the configuration that had been replaced up to 4.2 s before.

Cause: for its first 2 s no node watched the store closely. All read with stale watches, opened within that time and kept open for up to 8 s also by those that became watchers meanwhile, and kept what these showed as removed for 2.2 s without telling anybody.

Change: a node in contact with a peer watches closely after half a second if it is a watcher among the members it knows; one that hears of nobody does after 1.5 s. The known members are a part of all, so that a watcher may take itself for one too many and never for one too few. The cases of TestFollowsClosely stay, five are new.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -253,10 +253,14 @@
 	// sufficientRecentPeers is the number of such peers that make watching the
 	// store closely unnecessary.
 	sufficientRecentPeers = 3
-	// watchGracePeriod is how long after its start a node does not watch the store
-	// closely: it has just read the store, and it is too early to tell whether it
-	// can rely on its peers.
+	// watchGracePeriod is how long after its start a node is too young for its contacts
+	// to tell whether it can rely on its peers.
 	watchGracePeriod = 2 * time.Second
+	// watcherSettleTime is how long after its start a node hears of other members
+	// before it watches the store closely as the watcher among them.
+	watcherSettleTime = 500 * time.Millisecond
+	// loneWatcherSettleTime is the same for a node that no peer has been in contact with.
+	loneWatcherSettleTime = 1500 * time.Millisecond
 )
 
 // updateStoreWatching decides whether a node with an adapter watches the store
@@ -277,12 +281,19 @@
 }
 
 // followsStoreClosely reports whether a node watches the store closely, given its
-// uptime, whether it is a watcher, and the number of peers recently in contact.
-// Without the grace period, all nodes of a fleet that starts at once would load the
-// store together: each of them knows few others at first, so it may choose itself
-// as a watcher, and it has few contacts.
+// uptime, whether it is a watcher among the members that it knows, and the number of
+// peers recently in contact. A node that knows only some members may take itself for a
+// watcher, but a watcher never takes itself for none. So somebody watches closely soon
+// after a fleet has started at once, and the settle times keep all others from it.
 func followsStoreClosely(uptime time.Duration, isWatcher bool, recentContacts int) bool {
-	return uptime >= watchGracePeriod && (isWatcher || recentContacts < sufficientRecentPeers)
+	switch {
+	case uptime >= watchGracePeriod:
+		return isWatcher || recentContacts < sufficientRecentPeers
+	case recentContacts > 0:
+		return isWatcher && uptime >= watcherSettleTime
+	default:
+		return isWatcher && uptime >= loneWatcherSettleTime
+	}
 }
 
 // ReportStoreCall reports the outcome of a call to the platform's store.
--- a/internal/node/adapter_test.go
+++ b/internal/node/adapter_test.go
@@ -8,9 +8,9 @@
 	"github.com/bronzereach/bronzereach/pkg/upstream"
 )
 
-// TestFollowsClosely checks that a node that has just started does not watch the
-// store closely, so that a fleet that starts at once does not overload it, and that
-// a node cut off from its peers does.
+// TestFollowsClosely checks that a node that has just started watches the store closely
+// only as a watcher among the members that it has heard of, so that a fleet that starts
+// at once does not overload the store, and that a node cut off from its peers does.
 func TestFollowsClosely(t *testing.T) {
 	for _, c := range []struct {
 		what           string
@@ -23,6 +23,11 @@
 		{"a watcher", 5 * time.Second, true, 8, true},
 		{"not a watcher, in contact with others", 5 * time.Second, false, 8, false},
 		{"cut off from others", 5 * time.Second, false, 2, true},
+		{"a watcher too early to know", 200 * time.Millisecond, true, 3, false},
+		{"a watcher among the first known members", 600 * time.Millisecond, true, 1, true},
+		{"just started, others watch", 600 * time.Millisecond, false, 1, false},
+		{"just started, heard nobody", 1600 * time.Millisecond, true, 0, true},
+		{"just started, not ready", 1600 * time.Millisecond, false, 0, false},
 	} {
 		if got := followsStoreClosely(c.uptime, c.isWatcher, c.recentContacts); got != c.want {
 			t.Errorf("%s: %t", c.what, got)
