A node that others remember a later life of rejoins above it

After the clock of a machine had been ahead and was set right, each process that was started there ended at once with "another process has started under this VM's name", again and again, until the clock had caught up; the machine served nothing meanwhile.

Cause: the start time was the incarnation, so a claim about a former process looked like one about a later process, and the node ended on it.

The incarnation only orders the claims about one VM now. It starts with a small random number, below what older builds take, so that they can still follow on a rollback; a claim that the node has not caused (a higher incarnation, or a revision above its own) is outbid. Two processes of one name outbid each other after a wait that doubles up to a minute; nameShared in the log says so. Claims with an incarnation that can't be outbid are ignored.

Tickets, claims in the store, hello messages and seeds used the same number, and forward took an issuer for gone if the table knew a higher one. They have a random identity of the process now, which never changes and has no order. A request is passed to the VM, whose process alone knows whether it issued the ticket; a member that is taken for dead is asked too, as the claim may be about another of its processes. The identity is above any incarnation, so that nodes of older builds pass such requests on instead of taking the issuer for gone.

TestNewIncarnation asked that an old process is told that it is stale; it now asks that the process rejoins above the other.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -33,8 +33,9 @@
 // Holder identifies the process that may run a claimed request, and the call of
 // Acquire that claimed it.
 type Holder struct {
-	VM          string `json:"vm"`
-	Incarnation uint64 `json:"incarnation"`
+	VM string `json:"vm"`
+	// Process has the key under which older builds store it.
+	Process uint64 `json:"incarnation"`
 	// Attempt is unique to each call of Acquire, including those of the same
 	// process.
 	Attempt string    `json:"attempt"`
@@ -64,14 +65,14 @@
 
 // Claims acquires and completes claims stored in the platform.
 type Claims struct {
-	client      *platform.Client
-	vm          string
-	incarnation uint64
+	client  *platform.Client
+	vm      string
+	process uint64
 }
 
 // NewClaims returns a Claims that acquires on behalf of one process.
-func NewClaims(client *platform.Client, vm string, incarnation uint64) *Claims {
-	return &Claims{client: client, vm: vm, incarnation: incarnation}
+func NewClaims(client *platform.Client, vm string, process uint64) *Claims {
+	return &Claims{client: client, vm: vm, process: process}
 }
 
 func objectKey(key string) string {
@@ -99,7 +100,7 @@
 }
 
 func (c *Claims) newHolder() Holder {
-	return Holder{VM: c.vm, Incarnation: c.incarnation, Attempt: uuid.NewString(), Since: time.Now()}
+	return Holder{VM: c.vm, Process: c.process, Attempt: uuid.NewString(), Since: time.Now()}
 }
 
 // tryAcquire reads the claim, and creates it if there is none or replaces one
@@ -134,7 +135,7 @@
 // mayTakeOver reports whether an existing claim may be replaced because its request
 // is known not to have run. There are two such cases. The first is a claim whose
 // answer says so. The second is a claim without an answer that an earlier Acquire of
-// this incarnation wrote less than Retention/2 ago. RunTable keeps a run that may
+// this process wrote less than Retention/2 ago. RunTable keeps a run that may
 // have sent its request for at least Retention and admits one run per key, so this
 // Acquire would not have been called if the earlier claim had led to such a run. For
 // an older claim this does not hold: its run may have been removed from RunTable
@@ -143,7 +144,7 @@
 	if existing.Answer != nil {
 		return existing.Answer.Status == answer.NotRun
 	}
-	sameProcess := existing.Holder.VM == own.Holder.VM && existing.Holder.Incarnation == own.Holder.Incarnation
+	sameProcess := existing.Holder.VM == own.Holder.VM && existing.Holder.Process == own.Holder.Process
 	return sameProcess && existing.Holder.Attempt != own.Holder.Attempt && time.Since(existing.Holder.Since) < Retention/2
 }
 
--- a/internal/claim/ticket.go
+++ b/internal/claim/ticket.go
@@ -2,7 +2,7 @@
 // repeated, so that the request runs at most once whatever fails.
 //
 // There are two kinds of request keys. A ticket is issued by a node and names
-// that node's incarnation. Only the issuing process may run the ticket's request,
+// that node's process. Only the issuing process may run the ticket's request,
 // and it tracks the run in memory without calling the platform. A key chosen by the
 // caller is claimed by creating an object in the platform before any byte is sent to
 // an upstream.
@@ -33,10 +33,12 @@
 
 // Ticket holds the fields encoded in a ticket.
 type Ticket struct {
-	VM          string
-	Incarnation uint64
-	Issued      time.Time
-	// Number is unique among the tickets of one incarnation.
+	VM string
+	// Process identifies the issuing process among all that run on the VM. It is not in
+	// order: nothing follows from one being higher than another.
+	Process uint64
+	Issued  time.Time
+	// Number is unique among the tickets of one process.
 	Number uint64
 }
 
@@ -54,7 +56,7 @@
 	}
 	body, number, _ := splitLastDot(body)
 	body, issued, _ := splitLastDot(body)
-	vm, incarnation, found := splitLastDot(body)
+	vm, process, found := splitLastDot(body)
 	if !found {
 		return ticket, errors.New("malformed ticket: too few fields")
 	}
@@ -64,9 +66,9 @@
 	}
 	ticket.VM = vm
 	ticket.Issued = time.UnixMilli(millis)
-	ticket.Incarnation, err = strconv.ParseUint(incarnation, 36, 64)
+	ticket.Process, err = strconv.ParseUint(process, 36, 64)
 	if err != nil {
-		return ticket, errors.New("malformed ticket: the incarnation is not a base-36 number")
+		return ticket, errors.New("malformed ticket: the process is not a base-36 number")
 	}
 	ticket.Number, err = strconv.ParseUint(number, 36, 64)
 	return ticket, errors.WithStack(err)
@@ -81,17 +83,17 @@
 	return text[:position], text[position+1:], true
 }
 
-// Issuer issues the tickets of one incarnation and verifies them.
+// Issuer issues the tickets of one process and verifies them.
 type Issuer struct {
-	vm          string
-	incarnation uint64
-	secret      [sha256.Size]byte
-	number      atomic.Uint64
+	vm      string
+	process uint64
+	secret  [sha256.Size]byte
+	number  atomic.Uint64
 }
 
 // NewIssuer returns an issuer with a new random secret.
-func NewIssuer(vm string, incarnation uint64) *Issuer {
-	i := &Issuer{vm: vm, incarnation: incarnation}
+func NewIssuer(vm string, process uint64) *Issuer {
+	i := &Issuer{vm: vm, process: process}
 	// Reading random bytes doesn't fail on supported systems.
 	_, _ = rand.Read(i.secret[:])
 	return i
@@ -101,7 +103,7 @@
 func (i *Issuer) Issue(now time.Time, count int) []string {
 	tickets := make([]string, count)
 	for n := range tickets {
-		body := ticketPrefix + i.vm + "." + strconv.FormatUint(i.incarnation, 36) +
+		body := ticketPrefix + i.vm + "." + strconv.FormatUint(i.process, 36) +
 			"." + strconv.FormatInt(now.UnixMilli(), 36) +
 			"." + strconv.FormatUint(i.number.Add(1), 36)
 		tickets[n] = body + "." + i.code(body)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -26,12 +26,13 @@
 
 // Config configures the entry of a node.
 type Config struct {
-	VM          string
-	Incarnation uint64
-	Recorder    *timeline.Recorder
-	Network     *peer.Network
-	Gates       *gate.Gates
-	Claims      *claim.Claims
+	VM string
+	// Process identifies this process; tickets and claims name it.
+	Process  uint64
+	Recorder *timeline.Recorder
+	Network  *peer.Network
+	Gates    *gate.Gates
+	Claims   *claim.Claims
 	// View returns the view that the control goroutine published last, never nil.
 	View func() *View
 	// Serve executes a batch on this node and passes each reply to send. If the
@@ -62,7 +63,7 @@
 	return &Entry{
 		config:      config,
 		reportTable: newReportTable(),
-		issuer:      claim.NewIssuer(config.VM, config.Incarnation),
+		issuer:      claim.NewIssuer(config.VM, config.Process),
 		runs:        claim.NewRunTable(),
 		shutdown:    newShutdown(),
 		Metrics:     newMetrics(),
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -72,10 +72,10 @@
 		return k.refuse(refusal{code: answer.CodeTicketUnknown, message: "the key is not a valid ticket"})
 	}
 	config := k.entry.config
-	if ticket.VM == config.VM && ticket.Incarnation == config.Incarnation {
+	if ticket.VM == config.VM && ticket.Process == config.Process {
 		return k.handleOwnTicket(ctx, ticket)
 	}
-	return k.forward(ctx, ticket.VM, ticket.Incarnation)
+	return k.forward(ctx, ticket.VM)
 }
 
 // handleOwnTicket runs the request of a ticket of this process unless an earlier
@@ -182,24 +182,28 @@
 	case storedClaim.Answer != nil:
 		return storedClaim.Answer
 	default:
-		return k.forward(ctx, storedClaim.Holder.VM, storedClaim.Holder.Incarnation)
+		return k.forward(ctx, storedClaim.Holder.VM)
 	}
 }
 
-// forward sends the request to the only process that may run it. If that process
-// has ended, it is unknown whether the request ran. A request for another process of
-// this VM, or for a run that this process no longer knows, would come back here.
-func (k *keyedRequest) forward(ctx context.Context, vm string, incarnation uint64) *answer.Answer {
+// forward sends the request to the VM of the only process that may run it. If another
+// process runs there now, it answers that the outcome is unknown. A request for another
+// process of this VM, or for a run that this process no longer knows, would come back
+// here. What the member table knows of the VM may be about a process before or after
+// the one that may run the request, so a dead member is asked as well.
+func (k *keyedRequest) forward(ctx context.Context, vm string) *answer.Answer {
 	if vm == k.entry.config.VM {
 		return k.unknownAnswer(answer.CodeIssuerGone, "this node has no record of the request; it may have run and will not run again", false)
 	}
 	m, found := k.view.Members[vm]
-	gone := found && (m.Incarnation > incarnation || m.Incarnation == incarnation && m.State == member.Dead)
-	if !found || gone {
-		return k.unknownAnswer(answer.CodeIssuerGone, "the process that may run the request has ended; the request may have run and will not run again", false)
+	if !found {
+		return k.issuerGoneAnswer()
 	}
 	k.entry.record(timeline.RequestForwarded, k.id, vm)
 	a, err := k.callForward(ctx, m)
+	if err != nil && m.State == member.Dead {
+		return k.issuerGoneAnswer()
+	}
 	if err != nil {
 		k.entry.config.ReportFailure(vm)
 		return k.unknownAnswer(answer.CodeGateLost, "the process that may run the request can't be reached; the request may be sent again with the same key", true)
@@ -207,6 +211,10 @@
 	return a
 }
 
+func (k *keyedRequest) issuerGoneAnswer() *answer.Answer {
+	return k.unknownAnswer(answer.CodeIssuerGone, "the process that may run the request has ended; the request may have run and will not run again", false)
+}
+
 // callForward calls the member with the request and returns its answer.
 func (k *keyedRequest) callForward(ctx context.Context, m member.Member) (a *answer.Answer, err error) {
 	body, err := json.Marshal(k.request)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -6,8 +6,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/bronzereach/bronzereach/internal/entry"
 	"github.com/bronzereach/bronzereach/internal/promotion"
 	"github.com/bronzereach/bronzereach/internal/timeline"
@@ -128,7 +126,7 @@
 		node:              n,
 		events:            make(chan event, eventBacklog),
 		announcements:     util.NewMailbox[upstreamLeaving](),
-		random:            rand.New(rand.NewPCG(n.incarnation, 2)),
+		random:            rand.New(rand.NewPCG(n.process, 2)),
 		table:             member.NewTable(n.initialMember(), now),
 		assignmentTrusted: true,
 		started:           now,
@@ -167,16 +165,14 @@
 		case <-c.announcements.Ready():
 			c.announce(time.Now())
 		case tick := <-subscription.C:
-			if err := c.tick(ctx, tick.Now); err != nil {
-				return err
-			}
+			c.tick(ctx, tick.Now)
 		}
 	}
 }
 
 // tick runs the periodic tasks: failure detection, gossip, assignment, gates and
 // publishing.
-func (c *control) tick(ctx context.Context, now time.Time) error {
+func (c *control) tick(ctx context.Context, now time.Time) {
 	c.handlePause(now)
 	changed, due := c.table.Tick(now, c.health.TimeoutFactor())
 	c.recordMemberChanges(changed)
@@ -194,10 +190,6 @@
 	}
 	c.updateConfigConfirmed(now)
 	c.publish()
-	if c.table.Self().State == member.Dead {
-		return errors.New("another process has started under this VM's name")
-	}
-	return nil
 }
 
 // handlePause gives up every gate after the process was suspended for
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -29,6 +29,9 @@
 	// immediateExchanges is the number of exchanges started at once when the node
 	// leaves or has a newly promoted document.
 	immediateExchanges = 6
+	// sharedNameRejoins is the number of rejoins in a row from which on another process
+	// seems to run under the same VM name.
+	sharedNameRejoins = 5
 )
 
 // runGossip starts an exchange with one member every gossipInterval.
@@ -60,7 +63,7 @@
 func (c *control) newExchange() *wire.Exchange {
 	return &wire.Exchange{
 		From:          c.node.options.VM,
-		Incarnation:   c.node.incarnation,
+		Incarnation:   c.table.Self().Incarnation,
 		Digest:        c.table.Digest(),
 		Members:       membersToWire(c.table.Updates()),
 		ConfigVersion: c.version.Load(),
@@ -187,10 +190,9 @@
 
 // mergeExchange merges a member's exchange into the state of this node.
 func (c *control) mergeExchange(ctx context.Context, now time.Time, message *wire.Exchange) {
-	changed, stale := c.table.Merge(now, membersFromWire(message.GetMembers()))
-	if stale {
-		// A newer process runs under this VM's name, so this one must end.
-		c.table.SetOwnState(now, member.Dead)
+	changed, rejoined := c.table.Merge(now, membersFromWire(message.GetMembers()))
+	if rejoined {
+		c.logRejoin(message.GetFrom())
 	}
 	c.recordMemberChanges(changed)
 	c.lastContact[message.GetFrom()] = now
@@ -203,6 +205,16 @@
 	}
 }
 
+// logRejoin logs that this node took a higher incarnation because of a claim that
+// another node told. The member table bounds how often that is.
+func (c *control) logRejoin(toldBy string) {
+	own := c.table.Self()
+	c.node.log.Info("memberRejoined", "vm", own.VM, "incarnation", own.Incarnation, "toldBy", toldBy)
+	if rejoins := c.table.Rejoins(); rejoins >= sharedNameRejoins {
+		c.node.log.Info("nameShared", "vm", own.VM, "rejoins", rejoins, "detail", "another process seems to run under this VM's name")
+	}
+}
+
 // broadcast applies a notice that an upstream or a VM of the system is leaving,
 // and gossips it once. A node that learns this about itself becomes a leaving
 // member: it is no longer advertised to callers and no longer a gate, but it
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,18 +65,20 @@
 // Node is one process of the system: it serves callers and may be the gate of
 // services.
 type Node struct {
-	options     Options
-	incarnation uint64
-	log         logr.Logger
-	recorder    *timeline.Recorder
-	timers      *timer.Service
-	platform    *platform.Client
-	network     *peer.Network
-	gates       *gate.Gates
-	entry       *entry.Entry
-	control     *control
-	registry    *prometheus.Registry
-	keys        *keys.Store
+	options Options
+	// process identifies this process among all that run under the VM's name. It never
+	// changes and has no order; the incarnation in the member table is another number.
+	process  uint64
+	log      logr.Logger
+	recorder *timeline.Recorder
+	timers   *timer.Service
+	platform *platform.Client
+	network  *peer.Network
+	gates    *gate.Gates
+	entry    *entry.Entry
+	control  *control
+	registry *prometheus.Registry
+	keys     *keys.Store
 	// adapter connects to another platform; nil on the product's own.
 	adapter Adapter
 	// handling is the number of callers' requests whose body is being read, that are in
@@ -104,13 +106,13 @@
 func New(options Options, log logr.Logger) (n *Node, err error) {
 	defer util.Annotate(&err, "node %s", options.VM)
 	n = &Node{
-		options:     options,
-		incarnation: uint64(time.Now().UnixNano()),
-		log:         log,
-		recorder:    timeline.NewRecorder(options.VM, log),
-		timers:      timer.NewService(),
-		platform:    platform.NewClient(platform.Config{URL: options.Platform}),
-		done:        make(chan struct{}),
+		options:  options,
+		process:  newProcess(),
+		log:      log,
+		recorder: timeline.NewRecorder(options.VM, log),
+		timers:   timer.NewService(),
+		platform: platform.NewClient(platform.Config{URL: options.Platform}),
+		done:     make(chan struct{}),
 	}
 	n.ending, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
@@ -166,30 +168,30 @@
 		mutualTLS = n.keys.MutualTLSConfig()
 	}
 	n.network = peer.NewNetwork(peer.Config{
-		VM:          n.options.VM,
-		Incarnation: n.incarnation,
-		Clock:       n.recorder.Clock,
-		Timers:      n.timers,
-		Handler:     n,
-		SourceIP:    n.peerSourceIP(),
-		TLS:         mutualTLS,
-		Log:         n.log,
+		VM:       n.options.VM,
+		Process:  n.process,
+		Clock:    n.recorder.Clock,
+		Timers:   n.timers,
+		Handler:  n,
+		SourceIP: n.peerSourceIP(),
+		TLS:      mutualTLS,
+		Log:      n.log,
 	})
 	n.gates = gate.New(gate.Config{
 		VM:          n.options.VM,
 		Recorder:    n.recorder,
 		Mode:        n.options.Mode,
 		DirectNodes: n.options.DirectNodes,
-		Seed:        n.incarnation,
+		Seed:        n.process,
 	})
 	n.control = newControl(n)
 	n.entry = entry.New(entry.Config{
 		VM:            n.options.VM,
-		Incarnation:   n.incarnation,
+		Process:       n.process,
 		Recorder:      n.recorder,
 		Network:       n.network,
 		Gates:         n.gates,
-		Claims:        claim.NewClaims(n.platform, n.options.VM, n.incarnation),
+		Claims:        claim.NewClaims(n.platform, n.options.VM, n.process),
 		View:          n.view.Load,
 		Serve:         n.serveBatch,
 		ReportFailure: n.control.reportFailedCall,
@@ -268,7 +270,7 @@
 func (n *Node) initialMember() member.Member {
 	return member.Member{
 		VM:               n.options.VM,
-		Incarnation:      n.incarnation,
+		Incarnation:      firstIncarnation(n.process),
 		Revision:         1,
 		State:            member.Joining,
 		AvailabilityZone: n.options.AvailabilityZone,
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -100,11 +100,10 @@
 // link is a connection to another member, dialled or accepted, with its yamux
 // session.
 type link struct {
-	// vm and incarnation come from the hello of the other member.
-	vm          string
-	incarnation uint64
-	conn        *meteredConn
-	session     *yamux.Session
+	// vm comes from the hello of the other member.
+	vm      string
+	conn    *meteredConn
+	session *yamux.Session
 	// pingPending is true while a ping is unanswered.
 	pingPending atomic.Bool
 }
@@ -124,7 +123,7 @@
 		return nil, err
 	}
 	_ = conn.SetDeadline(time.Time{})
-	l = &link{vm: remote.GetVm(), incarnation: remote.GetIncarnation(), conn: metered}
+	l = &link{vm: remote.GetVm(), conn: metered}
 	config := yamuxConfig()
 	if dialled {
 		l.session, err = yamux.Client(metered, config)
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -51,9 +51,9 @@
 
 // Config configures a Network.
 type Config struct {
-	// VM and Incarnation identify this node in its hello messages.
-	VM          string
-	Incarnation uint64
+	// VM and Process identify this node and its process in its hello messages.
+	VM      string
+	Process uint64
 	// Clock stamps outgoing messages and observes the stamps of incoming ones.
 	Clock   *timeline.Clock
 	Timers  *timer.Service
@@ -141,7 +141,7 @@
 }
 
 func (n *Network) hello() *wire.Hello {
-	return &wire.Hello{Vm: n.config.VM, Incarnation: n.config.Incarnation}
+	return &wire.Hello{Vm: n.config.VM, Incarnation: n.config.Process}
 }
 
 // loop serves the calls that arrive on a link until it closes.
--- a/pkg/member/member.go
+++ b/pkg/member/member.go
@@ -39,8 +39,9 @@
 // passed by value.
 type Member struct {
 	VM string
-	// Incarnation is the start time of the process in nanoseconds; a restart
-	// has a higher one.
+	// Incarnation orders the claims about the processes that have run on the VM, and
+	// those only. A process starts with a small number and takes a higher one when it
+	// is told of a claim that is not about itself; it is at most maximumIncarnation.
 	Incarnation uint64
 	// Revision is raised only by the member itself, to change its state or to
 	// refute a claim made by others.
@@ -61,6 +62,12 @@
 	return m
 }
 
+// WithIncarnation returns a copy of the member with the given incarnation.
+func (m Member) WithIncarnation(incarnation uint64) Member {
+	m.Incarnation = incarnation
+	return m
+}
+
 // WithRevision returns a copy of the member with the given revision.
 func (m Member) WithRevision(revision uint64) Member {
 	m.Revision = revision
--- a/pkg/member/table.go
+++ b/pkg/member/table.go
@@ -70,6 +70,7 @@
 	alive int
 	// suspects holds the members whose suspicion timeout is running, by VM.
 	suspects map[string]suspicion
+	rejoins  rejoinLimit
 	// nextCleanup is the time of the next removal of expired dead members.
 	nextCleanup time.Time
 	// neighbors holds the VMs of the members that this node exchanges with, by
@@ -201,12 +202,15 @@
 
 // Merge accepts the claims that are new or supersede known ones, and returns
 // them. It ignores dead members that are not in the table. A claim about the
-// node itself that supersedes its own entry is refuted. stale is true if a newer
-// process has started under the node's own VM name.
-func (t *Table) Merge(now time.Time, claims []Member) (changed []Member, stale bool) {
+// node itself that supersedes its own entry is refuted. rejoined is true if the node
+// took a higher incarnation to do so, see Rejoins.
+func (t *Table) Merge(now time.Time, claims []Member) (changed []Member, rejoined bool) {
 	for _, claim := range claims {
+		if claim.Incarnation > maximumIncarnation {
+			continue
+		}
 		if claim.VM == t.self {
-			stale = t.refute(now, claim) || stale
+			rejoined = t.refute(now, claim) || rejoined
 			continue
 		}
 		known, found := t.entries[claim.VM]
@@ -219,21 +223,36 @@
 		t.put(claim, now)
 		changed = append(changed, claim)
 	}
-	return changed, stale
+	return changed, rejoined
 }
 
 // refute overrides a claim about the node itself that supersedes the node's own
-// entry: it announces the node's state again with a higher revision. It reports
-// whether the claim is about a newer process.
-func (t *Table) refute(now time.Time, claim Member) (stale bool) {
+// entry: it announces the node's state again, with a higher revision if the others
+// only suspect it, and with a higher incarnation if the claim comes from another
+// process that has run, or runs, under the node's VM name. It reports whether the
+// incarnation was raised.
+func (t *Table) refute(now time.Time, claim Member) (rejoined bool) {
 	own := t.Self()
-	if claim.Incarnation != own.Incarnation {
-		return claim.Incarnation > own.Incarnation
+	if !claim.Supersedes(own) {
+		return false
 	}
-	if claim.Supersedes(own) {
-		t.put(own.WithRevision(claim.Revision+1), now)
+	// Only the process that a claim is about raises its revision.
+	if claim.Incarnation == own.Incarnation && claim.Revision == own.Revision {
+		t.put(own.WithRevision(own.Revision+1), now)
+		return false
 	}
-	return false
+	if !t.rejoins.allow(now) {
+		return false
+	}
+	t.put(own.WithIncarnation(claim.Incarnation+1).WithRevision(1), now)
+	return true
+}
+
+// Rejoins returns how often the node has lately taken a higher incarnation. One or a
+// few are due to former lives that the others remember; more mean that another
+// process runs under the same VM name.
+func (t *Table) Rejoins() int {
+	return t.rejoins.count
 }
 
 // Suspect records that a member could not be reached, neither directly nor
