The age of tickets and claims doesn't follow the time of day

A ticket lives ten minutes and its run is remembered for twenty; a node whose clock was set back by more than the difference would have taken a ticket whose run it had forgotten for a fresh one and run it again. The same went for taking over a claim.

They are now times since the start of the process, which alone judges them.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -38,8 +38,11 @@
 	Process uint64 `json:"incarnation"`
 	// Attempt is unique to each call of Acquire, including those of the same
 	// process.
-	Attempt string    `json:"attempt"`
-	Since   time.Time `json:"since"`
+	Attempt string `json:"attempt"`
+	// Since is the time of day of the claim, for readers only.
+	Since time.Time `json:"since"`
+	// Elapsed is the time from the start of the process to the claim.
+	Elapsed time.Duration `json:"elapsed"`
 }
 
 // claimRecord is the JSON value of a claim object in the platform.
@@ -68,11 +71,14 @@
 	client  *platform.Client
 	vm      string
 	process uint64
+	// started is read with the steady clock only, as the age of a claim must not
+	// follow the time of day.
+	started time.Time
 }
 
 // NewClaims returns a Claims that acquires on behalf of one process.
 func NewClaims(client *platform.Client, vm string, process uint64) *Claims {
-	return &Claims{client: client, vm: vm, process: process}
+	return &Claims{client: client, vm: vm, process: process, started: time.Now()}
 }
 
 func objectKey(key string) string {
@@ -100,7 +106,8 @@
 }
 
 func (c *Claims) newHolder() Holder {
-	return Holder{VM: c.vm, Process: c.process, Attempt: uuid.NewString(), Since: time.Now()}
+	now := time.Now()
+	return Holder{VM: c.vm, Process: c.process, Attempt: uuid.NewString(), Since: now, Elapsed: now.Sub(c.started)}
 }
 
 // tryAcquire reads the claim, and creates it if there is none or replaces one
@@ -145,7 +152,8 @@
 		return existing.Answer.Status == answer.NotRun
 	}
 	sameProcess := existing.Holder.VM == own.Holder.VM && existing.Holder.Process == own.Holder.Process
-	return sameProcess && existing.Holder.Attempt != own.Holder.Attempt && time.Since(existing.Holder.Since) < Retention/2
+	age := own.Holder.Elapsed - existing.Holder.Elapsed
+	return sameProcess && existing.Holder.Attempt != own.Holder.Attempt && age < Retention/2
 }
 
 func (c *Claims) parse(key string, object platform.Object) (claim Claim, err error) {
--- a/internal/claim/ticket.go
+++ b/internal/claim/ticket.go
@@ -37,7 +37,8 @@
 	// Process identifies the issuing process among all that run on the VM. It is not in
 	// order: nothing follows from one being higher than another.
 	Process uint64
-	Issued  time.Time
+	// Issued is the time from the start of the issuing process to the issue.
+	Issued time.Duration
 	// Number is unique among the tickets of one process.
 	Number uint64
 }
@@ -65,7 +66,7 @@
 		return ticket, errors.New("malformed ticket: the issue time is not a base-36 number")
 	}
 	ticket.VM = vm
-	ticket.Issued = time.UnixMilli(millis)
+	ticket.Issued = time.Duration(millis) * time.Millisecond
 	ticket.Process, err = strconv.ParseUint(process, 36, 64)
 	if err != nil {
 		return ticket, errors.New("malformed ticket: the process is not a base-36 number")
@@ -87,13 +88,16 @@
 type Issuer struct {
 	vm      string
 	process uint64
+	// started is read with the steady clock only, as the age of a ticket must not
+	// follow the time of day.
+	started time.Time
 	secret  [sha256.Size]byte
 	number  atomic.Uint64
 }
 
 // NewIssuer returns an issuer with a new random secret.
 func NewIssuer(vm string, process uint64) *Issuer {
-	i := &Issuer{vm: vm, process: process}
+	i := &Issuer{vm: vm, process: process, started: time.Now()}
 	// Reading random bytes doesn't fail on supported systems.
 	_, _ = rand.Read(i.secret[:])
 	return i
@@ -104,13 +108,18 @@
 	tickets := make([]string, count)
 	for n := range tickets {
 		body := ticketPrefix + i.vm + "." + strconv.FormatUint(i.process, 36) +
-			"." + strconv.FormatInt(now.UnixMilli(), 36) +
+			"." + strconv.FormatInt(now.Sub(i.started).Milliseconds(), 36) +
 			"." + strconv.FormatUint(i.number.Add(1), 36)
 		tickets[n] = body + "." + i.code(body)
 	}
 	return tickets
 }
 
+// Age returns how long ago this issuer issued the ticket.
+func (i *Issuer) Age(now time.Time, ticket Ticket) time.Duration {
+	return now.Sub(i.started) - ticket.Issued
+}
+
 // Verify reports whether this issuer issued the ticket.
 func (i *Issuer) Verify(key string) bool {
 	body, code, found := splitLastDot(key)
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -86,7 +86,7 @@
 	if !e.issuer.Verify(k.request.Key) {
 		return k.refuse(refusal{code: answer.CodeTicketUnknown, message: "this node did not issue the ticket"})
 	}
-	age := time.Since(ticket.Issued)
+	age := e.issuer.Age(time.Now(), ticket)
 	_, started := e.runs.Lookup(k.request.Key)
 	if !started && k.refusedByShutdown() {
 		return k.refuse(leavingRefusal)
