Waiting requests keep their order when the clock is set back

Requests that came after the clock was set back went before all that were waiting, which then ran into their deadlines.

Cause: a gate's queue was ordered by the deadline's time of day. It goes by the steady clock now, as time from the start of the queue.

TestOrderIsSteady before: the second item, due a second later, came first.

--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -22,8 +22,8 @@
 	Deadline time.Time
 	Value    T
 
-	// order is the sort key within a rank: the deadline in nanoseconds, plus
-	// callerPenalty for each item of the caller that was already waiting.
+	// order is the sort key within a rank: the nanoseconds from the queue's start to the
+	// deadline, plus callerPenalty for each item of the caller that was already waiting.
 	order  int64
 	caller string
 	// position is the index in the heap, or -1 once the item left the queue.
@@ -33,6 +33,9 @@
 // Queue holds waiting items. It is not safe for concurrent use.
 type Queue[T any] struct {
 	floors []float64
+	// started is read with the steady clock only, as the order must not follow the time
+	// of day.
+	started time.Time
 	// ranks has one heap per rank.
 	ranks []deadlineHeap[T]
 	// credits is the number of starts that each rank is owed by its floor.
@@ -53,6 +56,7 @@
 func New[T any](config Config) *Queue[T] {
 	return &Queue[T]{
 		floors:  config.Floors,
+		started: time.Now(),
 		ranks:   make([]deadlineHeap[T], len(config.Floors)),
 		credits: make([]float64, len(config.Floors)),
 		waiting: map[string]int{},
@@ -88,7 +92,7 @@
 func (q *Queue[T]) Push(rank int, deadline time.Time, caller string, value T) *Item[T] {
 	rank = max(0, min(rank, len(q.ranks)-1))
 	item := &Item[T]{Rank: rank, Deadline: deadline, Value: value, caller: caller}
-	item.order = deadline.UnixNano() + int64(callerPenalty)*int64(q.waiting[caller])
+	item.order = int64(deadline.Sub(q.started)) + int64(callerPenalty)*int64(q.waiting[caller])
 	q.waiting[caller]++
 	q.size++
 	heap.Push(&q.ranks[rank], item)
--- a/pkg/queue/queue_test.go
+++ b/pkg/queue/queue_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"testing"
 	"time"
+	"unsafe"
 
 	"pgregory.net/rapid"
 )
@@ -138,3 +139,27 @@
 		q.Pop()
 	}
 }
+
+// setBack returns the time as read at the same moment from a clock that was set back by
+// an hour: the steady reading stays.
+func setBack(t *testing.T, at time.Time) time.Time {
+	t.Helper()
+	const secondsOffset, hour = 30, 3600
+	changed := at
+	*(*uint64)(unsafe.Pointer(&changed)) -= hour << secondsOffset
+	if changed.Sub(at) != 0 || at.Unix()-changed.Unix() != hour {
+		t.Fatal("this version of Go represents times in another way")
+	}
+	return changed
+}
+
+// TestOrderIsSteady: after a clock was set back, new items went before all waiting ones.
+func TestOrderIsSteady(t *testing.T) {
+	q := New[int](Config{Floors: []float64{0}})
+	now := time.Now()
+	q.Push(0, now.Add(time.Second), "a", 1)
+	q.Push(0, setBack(t, now.Add(2*time.Second)), "b", 2)
+	if item, ok := q.Pop(); !ok || item.Value != 1 {
+		t.Errorf("the first item is %+v, want the one with the earlier deadline", item)
+	}
+}
