A silent link is found also after the clock was set back

A link to another node that had gone silent was not pinged until the clock had caught up, and calls on it waited for their time limits.

Cause: the time of the last read was kept as time of day. It is the time from the opening of the connection now.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -38,7 +38,10 @@
 type meteredConn struct {
 	net.Conn
 	traffic *Traffic
-	// lastRead is the Unix time of the last read, in nanoseconds.
+	// opened is read with the steady clock only: a link's silence must not be judged by
+	// the time of day.
+	opened time.Time
+	// lastRead is the time from opened to the last read, in nanoseconds.
 	lastRead atomic.Int64
 	// pendingHeader holds a frame header until its body is written. The hello, which
 	// is written before the session starts, is never taken for such a header: either
@@ -47,11 +50,20 @@
 	pendingHeader []byte
 }
 
+func newMeteredConn(conn net.Conn, traffic *Traffic) *meteredConn {
+	return &meteredConn{Conn: conn, traffic: traffic, opened: time.Now()}
+}
+
+// idle returns the time since the last read.
+func (c *meteredConn) idle(now time.Time) time.Duration {
+	return now.Sub(c.opened) - time.Duration(c.lastRead.Load())
+}
+
 // Read implements net.Conn.
 func (c *meteredConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
 	if n > 0 {
-		c.lastRead.Store(time.Now().UnixNano())
+		c.lastRead.Store(int64(time.Since(c.opened)))
 		c.traffic.received.Add(int64(n))
 	}
 	return n, err
@@ -111,8 +123,7 @@
 // newLink exchanges hello messages over the connection and starts a session on
 // it. dialled says which side this is. On error the caller closes conn.
 func newLink(conn net.Conn, dialled bool, hello *wire.Hello, traffic *Traffic) (l *link, err error) {
-	metered := &meteredConn{Conn: conn, traffic: traffic}
-	metered.lastRead.Store(time.Now().UnixNano())
+	metered := newMeteredConn(conn, traffic)
 	// An error in setting the deadline shows up in the first read or write.
 	_ = conn.SetDeadline(time.Now().Add(handshakeTimeout))
 	if err := wire.Write(metered, hello); err != nil {
@@ -161,8 +172,7 @@
 // checkLiveness starts a ping if the link has open calls and has received
 // nothing for livenessTimeout. One ping runs at a time.
 func (l *link) checkLiveness(now time.Time) {
-	idle := now.Sub(time.Unix(0, l.conn.lastRead.Load()))
-	if l.session.NumStreams() == 0 || idle < livenessTimeout || l.pingPending.Swap(true) {
+	if l.session.NumStreams() == 0 || l.conn.idle(now) < livenessTimeout || l.pingPending.Swap(true) {
 		return
 	}
 	go l.loop()
