--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -33,12 +33,16 @@
 // Holder identifies the process that may run a claimed request, and the call of
 // Acquire that claimed it.
 type Holder struct {
-	VM          string `json:"vm"`
-	Incarnation uint64 `json:"incarnation"`
+	VM string `json:"vm"`
+	// Process has the key under which older builds store it.
+	Process uint64 `json:"incarnation"`
 	// Attempt is unique to each call of Acquire, including those of the same
 	// process.
-	Attempt string    `json:"attempt"`
-	Since   time.Time `json:"since"`
+	Attempt string `json:"attempt"`
+	// Since is the time of day of the claim, for readers only.
+	Since time.Time `json:"since"`
+	// Elapsed is the time from the start of the process to the claim.
+	Elapsed time.Duration `json:"elapsed"`
 }
 
 // claimRecord is the JSON value of a claim object in the platform.
@@ -64,14 +68,17 @@
 
 // Claims acquires and completes claims stored in the platform.
 type Claims struct {
-	client      *platform.Client
-	vm          string
-	incarnation uint64
+	client  *platform.Client
+	vm      string
+	process uint64
+	// started is read with the steady clock only, as the age of a claim must not
+	// follow the time of day.
+	started time.Time
 }
 
 // NewClaims returns a Claims that acquires on behalf of one process.
-func NewClaims(client *platform.Client, vm string, incarnation uint64) *Claims {
-	return &Claims{client: client, vm: vm, incarnation: incarnation}
+func NewClaims(client *platform.Client, vm string, process uint64) *Claims {
+	return &Claims{client: client, vm: vm, process: process, started: time.Now()}
 }
 
 func objectKey(key string) string {
@@ -99,7 +106,8 @@
 }
 
 func (c *Claims) newHolder() Holder {
-	return Holder{VM: c.vm, Incarnation: c.incarnation, Attempt: uuid.NewString(), Since: time.Now()}
+	now := time.Now()
+	return Holder{VM: c.vm, Process: c.process, Attempt: uuid.NewString(), Since: now, Elapsed: now.Sub(c.started)}
 }
 
 // tryAcquire reads the claim, and creates it if there is none or replaces one
@@ -134,7 +142,7 @@
 // mayTakeOver reports whether an existing claim may be replaced because its request
 // is known not to have run. There are two such cases. The first is a claim whose
 // answer says so. The second is a claim without an answer that an earlier Acquire of
-// this incarnation wrote less than Retention/2 ago. RunTable keeps a run that may
+// this process wrote less than Retention/2 ago. RunTable keeps a run that may
 // have sent its request for at least Retention and admits one run per key, so this
 // Acquire would not have been called if the earlier claim had led to such a run. For
 // an older claim this does not hold: its run may have been removed from RunTable
@@ -143,8 +151,9 @@
 	if existing.Answer != nil {
 		return existing.Answer.Status == answer.NotRun
 	}
-	sameProcess := existing.Holder.VM == own.Holder.VM && existing.Holder.Incarnation == own.Holder.Incarnation
-	return sameProcess && existing.Holder.Attempt != own.Holder.Attempt && time.Since(existing.Holder.Since) < Retention/2
+	sameProcess := existing.Holder.VM == own.Holder.VM && existing.Holder.Process == own.Holder.Process
+	age := own.Holder.Elapsed - existing.Holder.Elapsed
+	return sameProcess && existing.Holder.Attempt != own.Holder.Attempt && age < Retention/2
 }
 
 func (c *Claims) parse(key string, object platform.Object) (claim Claim, err error) {
