--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -210,9 +210,10 @@
 	return options, rejectArguments(set)
 }
 
-// readGracePeriod parses the value of graceVariable, which may be empty.
+// readGracePeriod parses the value of graceVariable, which may be empty or, where a
+// template has no number to fill in, a unit alone.
 func readGracePeriod(text string) (grace time.Duration, err error) {
-	if text == "" {
+	if text == "" || text == "s" {
 		return 0, nil
 	}
 	grace, err = time.ParseDuration(text)
--- a/internal/cli/options_test.go
+++ b/internal/cli/options_test.go
@@ -9,7 +9,7 @@
 )
 
 func TestGracePeriodOfTheSupervisor(t *testing.T) {
-	for text, want := range map[string]time.Duration{"": 0, "6s": 6 * time.Second, "1500ms": 1500 * time.Millisecond} {
+	for text, want := range map[string]time.Duration{"": 0, "s": 0, "6s": 6 * time.Second, "1500ms": 1500 * time.Millisecond} {
 		t.Setenv(graceVariable, text)
 		options, err := parseNode([]string{"-settings", "node.toml"}, io.Discard)
 		if err != nil || options.gracePeriod != want {
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -157,6 +157,14 @@
 	return a
 }
 
+// timeLimit returns how long a request may take.
+func timeLimit(request query.Request, kind document.Kind) time.Duration {
+	if asked := time.Duration(request.DeadlineMillis) * time.Millisecond; asked > 0 {
+		return min(kind.Deadline, asked)
+	}
+	return kind.Deadline
+}
+
 // refuse returns the answer to a request that was not run.
 func (e *Entry) refuse(view *View, request query.Request, id string, received time.Time, why refusal) *answer.Answer {
 	e.record(timeline.RequestRefused, id, string(why.code))
--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -97,14 +97,6 @@
 	}
 }
 
-// timeLimit returns how long a request may take.
-func timeLimit(request query.Request, kind document.Kind) time.Duration {
-	if asked := time.Duration(request.DeadlineMillis) * time.Millisecond; asked > 0 {
-		return min(kind.Deadline, asked)
-	}
-	return kind.Deadline
-}
-
 // execute pins a snapshot and gathers the replies of its shards in parts and
 // omitted, restarting if a version is gone. It returns a code if there is no
 // snapshot to read.
--- a/internal/node/callerconns.go
+++ b/internal/node/callerconns.go
@@ -50,6 +50,8 @@
 
 	mu   sync.Mutex
 	open int
+	// refused counts the connections that were refused since the last log line of them.
+	refused int
 	// closing is true once idle connections are closed at once.
 	closing bool
 	// idle and reading hold the connections in these states, by the time at which they
@@ -105,7 +107,7 @@
 	if cs.open >= cs.config.Maximum {
 		longest := cs.idle.Front()
 		if longest == nil {
-			cs.config.Log.Info("callerConnRefused", "open", cs.open)
+			cs.refused++
 			return nil
 		}
 		cs.giveUp(longest.Value.(*callerConn))
@@ -237,13 +239,18 @@
 	}
 }
 
-// sweep gives up the connections whose time is over.
+// sweep gives up the connections whose time is over, and logs how many were refused since
+// the last time.
 func (cs *callerConns) sweep(now time.Time) {
 	header, idle := cs.config.Timeouts()
 	cs.mu.Lock()
 	defer cs.mu.Unlock()
 	cs.sweepList(cs.reading, now.Add(-header))
 	cs.sweepList(cs.idle, now.Add(-idle))
+	if cs.refused > 0 {
+		cs.config.Log.Info("callerConnsRefused", "refused", cs.refused, "open", cs.open)
+		cs.refused = 0
+	}
 }
 
 // close gives up all idle connections, and those that are accepted later. An http.Server
