A process that has ended in order is not killed by a signal just before its exit

Supervisors saw "signal: terminated" of a node that had answered everything and logged nodeEnded.

Cause: runNode gave the signals back to their default handling when it returned, and the process exits only after that. A repeated SIGTERM in between kills it, and the exit code that says whether requests were cut is lost. "local" and "load" did the same.

Now caught signals stay caught until the process is gone.

--- a/internal/cli/load.go
+++ b/internal/cli/load.go
@@ -1,10 +1,6 @@
 package cli
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -27,8 +23,7 @@
 	if options.seconds > 0 {
 		plan.Duration = time.Duration(options.seconds * float64(time.Second))
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	ctx := untilSignal()
 	report, err := load.Run(ctx, load.Config{
 		Plan: plan,
 		Seed: options.seed,
--- a/internal/cli/local.go
+++ b/internal/cli/local.go
@@ -6,8 +6,6 @@
 	"fmt"
 	"io"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"github.com/pkg/errors"
 
@@ -29,8 +27,7 @@
 	if err != nil {
 		return exitUsage, errors.WithMessage(errUsage, err.Error())
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
+	ctx := untilSignal()
 	system, err := local.Start(ctx, local.Config{
 		Document: local.SearchDocument(options.shards, options.replicas),
 		Contents: local.SearchContents(standin.SplitLines(data), options.shards),
--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -3,10 +3,8 @@
 import (
 	"context"
 	"os"
-	"os/signal"
 	"runtime/debug"
 	"runtime/pprof"
-	"syscall"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -28,7 +26,6 @@
 func runNode(arguments []string, streams Streams) (int, error) {
 	// Catch signals first: they may arrive as soon as the process runs.
 	caughtSignals := catchSignals()
-	defer caughtSignals.release()
 	flags, err := parseNode(arguments, streams.Err)
 	if err != nil {
 		return exitUsage, err
@@ -78,28 +75,6 @@
 	return exitDone, nil
 }
 
-// signalSet holds the channels of the signals that a node catches.
-type signalSet struct {
-	// leave receives SIGINT and SIGTERM. Its buffer holds the signals that may arrive
-	// while the node is built.
-	leave chan os.Signal
-	// reload receives SIGHUP.
-	reload chan os.Signal
-}
-
-func catchSignals() signalSet {
-	s := signalSet{leave: make(chan os.Signal, 2), reload: make(chan os.Signal, 1)}
-	signal.Notify(s.leave, os.Interrupt, syscall.SIGTERM)
-	signal.Notify(s.reload, syscall.SIGHUP)
-	return s
-}
-
-// release restores the default handling of the signals.
-func (s signalSet) release() {
-	signal.Stop(s.leave)
-	signal.Stop(s.reload)
-}
-
 // shutdownHandler ends a node on signals: gracefully on the first one, at once on an
 // interrupt (SIGINT) after it. A repeated SIGTERM changes nothing: supervisors may send
 // one to a process that is shutting down already.
