A call waits for a dial no longer than its own time

Cause: a call to a member without an open link dialled itself, whatever time it had. A member that is cut off may accept connections and stay silent, and the dial then takes the whole handshake timeout of 1 s.

Change: a dial runs on its own and outlives the call that started it; calls wait for it until their own time is over. An order gives it 400 ms, as it does a ping.

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -75,9 +75,8 @@
 	// links holds the link that new calls to a VM use. Both nodes may have dialled,
 	// so there may be further links to the VM that still have open calls.
 	links map[string]*link
-	// dialling holds, for each VM being dialled, a channel that is closed when the
-	// dial ends.
-	dialling map[string]chan struct{}
+	// dialling holds the dials in progress by VM.
+	dialling map[string]*dial
 	// openLinks holds every open link, also those that are not in links.
 	openLinks util.Set[*link]
 }
@@ -87,7 +86,7 @@
 	return &Network{
 		config:    config,
 		links:     map[string]*link{},
-		dialling:  map[string]chan struct{}{},
+		dialling:  map[string]*dial{},
 		openLinks: util.NewSet[*link](),
 	}
 }
@@ -236,11 +235,13 @@
 }
 
 // Confirm checks that a member answers on the link that the next call to it uses. If it
-// does not, Confirm closes the link and returns ErrUnreachable. It is meant for calls
-// that must not be sent again: of one that is sent on a silent link nobody can tell
-// whether it arrived.
+// does not, Confirm closes the link and returns ErrUnreachable. A dial may take
+// livenessTimeout, and goes on afterwards. Confirm is meant for calls that must not be
+// sent again: of one that is sent on a silent link nobody can tell whether it arrived.
 func (n *Network) Confirm(ctx context.Context, vm, address string) error {
-	l, err := n.linkTo(ctx, vm, address)
+	dialCtx, cancel := context.WithTimeout(ctx, livenessTimeout)
+	defer cancel()
+	l, err := n.linkTo(dialCtx, vm, address)
 	if err != nil {
 		return errors.WithMessage(ErrUnreachable, err.Error())
 	}
@@ -272,59 +273,90 @@
 	}
 }
 
-// linkTo returns the link to a VM. If there is none, it dials, or waits for the
-// dial that another call has started. If that dial fails, the waiting calls fail
-// too instead of dialling one after the other.
+// linkTo returns the link to a VM. If there is none, it waits for a dial, which it starts
+// unless another call has done so, until ctx ends. If a dial fails, all calls that wait
+// for it fail instead of dialling one after the other, unless the VM has dialled this
+// node meanwhile.
 func (n *Network) linkTo(ctx context.Context, vm, address string) (*link, error) {
-	for {
-		n.mu.Lock()
-		l, found := n.links[vm]
-		if found && !l.session.IsClosed() {
-			n.mu.Unlock()
-			return l, nil
-		}
-		done, inProgress := n.dialling[vm]
-		if !inProgress {
-			done = make(chan struct{})
-			n.dialling[vm] = done
-		}
-		n.mu.Unlock()
-		if !inProgress {
-			return n.dialLink(ctx, vm, address, done)
-		}
-		select {
-		case <-done:
-			if ctx.Err() != nil || n.hasNoLink(vm) {
-				return nil, errors.New("no link after waiting for another call's dial")
-			}
-		case <-ctx.Done():
-			return nil, errors.WithStack(ctx.Err())
-		}
+	l, d := n.linkOrDial(ctx, vm, address)
+	if l != nil {
+		return l, nil
+	}
+	select {
+	case <-d.done:
+	case <-ctx.Done():
+		return nil, errors.WithStack(ctx.Err())
+	}
+	if d.err == nil {
+		return d.link, nil
 	}
+	if l := n.openLink(vm); l != nil {
+		return l, nil
+	}
+	return nil, d.err
 }
 
-// hasNoLink reports whether links holds no link to the VM.
-func (n *Network) hasNoLink(vm string) bool {
+// linkOrDial returns the open link to a VM, or else the dial in progress, which it starts
+// if there is none.
+func (n *Network) linkOrDial(ctx context.Context, vm, address string) (*link, *dial) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	_, found := n.links[vm]
-	return !found
-}
-
-// dialLink dials a link to the VM and adds it to links. Whether the dial succeeds
-// or fails, it then closes done, which wakes the calls that wait for the dial. The
-// end of ctx does not stop the dial, because those calls may have later deadlines.
-func (n *Network) dialLink(ctx context.Context, vm, address string, done chan struct{}) (l *link, err error) {
-	defer func() {
-		n.mu.Lock()
-		delete(n.dialling, vm)
-		if err == nil {
-			n.links[vm] = l
-			n.openLinks.Add(l)
-		}
-		n.mu.Unlock()
-		close(done)
-	}()
+	if l := n.openLinkLocked(vm); l != nil {
+		return l, nil
+	}
+	d, inProgress := n.dialling[vm]
+	if !inProgress {
+		d = &dial{network: n, vm: vm, address: address, done: make(chan struct{})}
+		n.dialling[vm] = d
+		go d.run(context.WithoutCancel(ctx))
+	}
+	return nil, d
+}
+
+// openLink returns the link that new calls to a VM use; nil if there is none.
+func (n *Network) openLink(vm string) *link {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.openLinkLocked(vm)
+}
+
+// openLinkLocked is openLink for callers that hold n.mu.
+func (n *Network) openLinkLocked(vm string) *link {
+	if l, found := n.links[vm]; found && !l.session.IsClosed() {
+		return l
+	}
+	return nil
+}
+
+// dial is an attempt to open a link to a VM, shared by the calls that wait for it. It
+// outlives the call that started it, as others may have more time.
+type dial struct {
+	network     *Network
+	vm, address string
+	// done is closed once the dial has ended; link or err is set before.
+	done chan struct{}
+	link *link
+	err  error
+}
+
+// run dials, and adds the link to those of the network.
+func (d *dial) run(ctx context.Context) {
+	defer close(d.done)
+	n := d.network
+	d.link, d.err = n.dialLink(ctx, d.vm, d.address)
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.dialling, d.vm)
+	if d.err != nil {
+		return
+	}
+	n.links[d.vm] = d.link
+	n.openLinks.Add(d.link)
+	go n.loop(ctx, d.link)
+}
+
+// dialLink opens a link to the VM at the address.
+func (n *Network) dialLink(ctx context.Context, vm, address string) (l *link, err error) {
 	conn, err := n.connectTo(ctx, address)
 	if err != nil {
 		return nil, err
@@ -338,7 +370,6 @@
 		l.close()
 		return nil, errors.Errorf("peer at %s identifies as VM %q, want %q", address, l.vm, vm)
 	}
-	go n.loop(context.WithoutCancel(ctx), l)
 	return l, nil
 }
 
