A slow exchange cuts no call in progress

Found while TestZoneCutOff was traced. What a caller saw: its order was running at a gate whose node answered an exchange of gossip too late, as on a busy machine. The order was answered unknown (gateLost) and counts as such for good, although it ended well.

Cause: after an exchange without an answer in time the node closed its link to the member, so that the second try would dial. That also ended all calls on the link. But an exchange is late whenever the control goroutine of either side is; the link may be sound.

Change: the link is only retired. New calls dial; those in progress go on. A ping is sent at once and tells whether the link is silent; it is then closed after 400 ms. A sound one is closed when it has no calls and has received nothing for 5 s, as the other side may use it.

--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -85,7 +85,7 @@
 	reply, err := x.sendExchange(ctx, x.message)
 	if err != nil {
 		// The connection may be dead while a new one would work.
-		x.control.node.network.Disconnect(x.partner.VM)
+		x.control.node.network.Retire(x.partner.VM)
 		reply, err = x.sendExchange(ctx, x.message)
 	}
 	if err == nil {
--- a/internal/node/rejoin_test.go
+++ b/internal/node/rejoin_test.go
@@ -46,7 +46,12 @@
 
 func newRejoinCluster(t *testing.T) *rejoinCluster {
 	t.Helper()
-	u, err := standin.StartUpstream(standin.UpstreamConfig{Address: "127.0.0.1:0", Slots: 4, Queue: 4})
+	return newClusterWithUpstream(t, standin.UpstreamConfig{Address: "127.0.0.1:0", Slots: 4, Queue: 4})
+}
+
+func newClusterWithUpstream(t *testing.T, config standin.UpstreamConfig) *rejoinCluster {
+	t.Helper()
+	u, err := standin.StartUpstream(config)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -25,7 +25,10 @@
 	writeTimeout = 2 * time.Second
 	// livenessTimeout is how long a link with open calls may receive nothing before
 	// it is pinged, and how long the peer has to answer the ping.
-	livenessTimeout    = 400 * time.Millisecond
+	livenessTimeout = 400 * time.Millisecond
+	// retiredIdleTimeout is how long a retired link stays open without a call: the peer
+	// may still use it.
+	retiredIdleTimeout = 5 * time.Second
 	acceptBacklog      = 256
 	streamWindowBytes  = 1 << 20
 	replyBufferBytes   = 4 << 10
@@ -118,6 +121,9 @@
 	session *yamux.Session
 	// pingPending is true while a ping is unanswered.
 	pingPending atomic.Bool
+	// retired is true once no new call of this node uses the link; the peer's may. It is
+	// guarded by the mutex of the network.
+	retired bool
 }
 
 // newLink exchanges hello messages over the connection and starts a session on
@@ -172,10 +178,23 @@
 // checkLiveness starts a ping if the link has open calls and has received
 // nothing for livenessTimeout. One ping runs at a time.
 func (l *link) checkLiveness(now time.Time) {
-	if l.session.NumStreams() == 0 || l.conn.idle(now) < livenessTimeout || l.pingPending.Swap(true) {
+	if l.session.NumStreams() == 0 || l.conn.idle(now) < livenessTimeout {
 		return
 	}
-	go l.loop()
+	l.startPing()
+}
+
+// startPing starts a ping that closes the link if it is not answered.
+func (l *link) startPing() {
+	if !l.pingPending.Swap(true) {
+		go l.loop()
+	}
+}
+
+// unused reports whether the link has no open calls and has received nothing for
+// retiredIdleTimeout.
+func (l *link) unused(now time.Time) bool {
+	return l.session.NumStreams() == 0 && l.conn.idle(now) >= retiredIdleTimeout
 }
 
 // loop sends one ping and closes the link if it fails or is not answered in time.
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -263,14 +263,19 @@
 	return stream.Receive()
 }
 
-// Disconnect closes the link to a member. The next call dials a new one.
-func (n *Network) Disconnect(vm string) {
+// Retire takes the link to a member out of use for new calls, so that the next one dials.
+// The calls in progress go on, as the member may be slow rather than cut off; a ping
+// tells, and the link is closed if it is not answered.
+func (n *Network) Retire(vm string) {
 	n.mu.Lock()
-	l := n.links[vm]
-	n.mu.Unlock()
-	if l != nil {
-		n.removeLink(l)
+	defer n.mu.Unlock()
+	l, found := n.links[vm]
+	if !found {
+		return
 	}
+	delete(n.links, vm)
+	l.retired = true
+	l.startPing()
 }
 
 // linkTo returns the link to a VM. If there is none, it waits for a dial, which it starts
@@ -442,11 +447,15 @@
 	}
 }
 
-// checkLiveness checks all links.
+// checkLiveness checks all links, and closes the retired ones that are no longer used.
 func (n *Network) checkLiveness(now time.Time) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	for l := range n.openLinks {
+		if l.retired && l.unused(now) {
+			l.close()
+			continue
+		}
 		l.checkLiveness(now)
 	}
 }
