An entry takes the reports of a gate that restarted with its clock set back

Reports were ordered by the stamps of a hybrid clock alone, so that an entry kept the report of a gate's former process as long as the stamps of the new one were lower: by its admitted fractions and index versions, for as long as the clock had been set back.

Change: a report names the process that made it (new field; older builds ignore it and leave it empty) and is in order only within that process, whose stamps always rise. One of another process replaces the known one; an older gate's that came late is replaced with the next reply, as a gate sends its report until the entry has it. Reports without a process are ordered among all by their stamp, as before. Clock.Observe ignores stamps more than 24 hours ahead of the time of day, and a time before 1970 or after 2103 gives stamps that others can pass.

--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -90,15 +90,14 @@
 	}
 }
 
-// add stores a report if it is newer than the stored one. A nil report is ignored.
+// add stores a report unless the stored one is as new. A nil report is ignored.
 func (r *reportTable) add(report *wire.Report) {
 	if report == nil {
 		return
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	known, found := r.byService[report.GetService()]
-	if found && known.GetSequence() >= report.GetSequence() {
+	if known, found := r.byService[report.GetService()]; found && !replaces(known, report) {
 		return
 	}
 	r.byService[report.GetService()] = report
@@ -107,6 +106,16 @@
 	}
 }
 
+// replaces reports whether a report that has just arrived replaces the known one. Only
+// reports of one process are in order. A gate sends its report with each reply until the
+// entry has it, so one of another process that came late is soon replaced in its turn.
+func replaces(known, report *wire.Report) bool {
+	if report.GetProcess() == known.GetProcess() || report.GetProcess() == 0 {
+		return report.GetSequence() > known.GetSequence()
+	}
+	return true
+}
+
 // sequence returns the sequence of the stored report of a service, or 0.
 func (r *reportTable) sequence(service string) uint64 {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/entry/reports_test.go
@@ -0,0 +1,86 @@
+package entry
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/go-logr/logr"
+
+	"github.com/bronzereach/bronzereach/internal/gate"
+	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/internal/wire"
+	"github.com/bronzereach/bronzereach/pkg/document"
+)
+
+const reportDocument = `name = "test"
+[[rank]]
+name = "urgent"
+[[pool]]
+name = "orders"
+slots = 1
+connections = 8
+upstreams = ["127.0.0.1:1"]
+[[kind]]
+name = "order"
+rank = "urgent"
+pool = "orders"
+deadline = "20s"
+`
+
+// startGate returns the report of the gate of "orders" in a new process whose clock is
+// ahead of the time of day.
+func startGate(t *testing.T, process uint64, ahead time.Duration) *wire.Report {
+	t.Helper()
+	recorder := timeline.NewRecorder("vm-1", logr.Discard())
+	recorder.Clock.Observe(timeline.Stamp(time.Now().Add(ahead).UnixMicro() << 12))
+	gates := gate.New(gate.Config{VM: "vm-1", Process: process, Recorder: recorder, Mode: gate.Gated})
+	d, err := document.Parse([]byte(reportDocument))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	t.Cleanup(cancel)
+	gates.Apply(d)
+	gates.Acquire(ctx, "orders", nil)
+	reports := gates.Describe(ctx, []string{"orders"})
+	if len(reports) != 1 || reports[0].GetSequence() == 0 {
+		t.Fatalf("the gate describes its service by %v", reports)
+	}
+	return reports[0]
+}
+
+// TestReportsAfterClockWasSetBack checks that an entry takes the report of a gate that
+// restarted with its clock set back, and then only newer ones of it.
+func TestReportsAfterClockWasSetBack(t *testing.T) {
+	before, after := startGate(t, 9, time.Hour), startGate(t, 4, 0)
+	reports := newReportTable()
+	reports.add(before)
+	reports.add(after)
+	if known := reports.sequence("orders"); known != after.GetSequence() {
+		t.Fatalf("the entry holds the report %d of the former process, want %d", known, after.GetSequence())
+	}
+	late := &wire.Report{Service: "orders", Process: after.GetProcess(), Sequence: after.GetSequence() - 1}
+	reports.add(late)
+	if known := reports.sequence("orders"); known != after.GetSequence() {
+		t.Errorf("an older report of the same process replaced the newer one: %d, want %d", known, after.GetSequence())
+	}
+}
+
+// TestReportsOfOlderBuilds checks that reports without a process, of nodes of older
+// builds, are ordered by their sequence among all others.
+func TestReportsOfOlderBuilds(t *testing.T) {
+	reports := newReportTable()
+	for _, step := range []struct{ process, sequence, want uint64 }{
+		{0, 10, 10},
+		{0, 9, 10},
+		{7, 5, 5},
+		{0, 4, 5},
+		{0, 6, 6},
+	} {
+		reports.add(&wire.Report{Service: "orders", Process: step.process, Sequence: step.sequence})
+		if known := reports.sequence("orders"); known != step.want {
+			t.Fatalf("after report %d of process %d the entry holds %d, want %d", step.sequence, step.process, known, step.want)
+		}
+	}
+}
--- a/internal/gate/gates.go
+++ b/internal/gate/gates.go
@@ -37,7 +37,9 @@
 
 // Config configures the gates of a node.
 type Config struct {
-	VM       string
+	VM string
+	// Process identifies this process; reports name it.
+	Process  uint64
 	Recorder *timeline.Recorder
 	Mode     Mode
 	// DirectNodes is the number of nodes that share the slots in direct mode.
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -115,12 +115,13 @@
 		Versions: s.mergedVersions(time.Now()),
 		Admitted: slices.Clone(s.admittedFractions[:min(len(s.floors), admission.MaximumRanks)]),
 		Sequence: s.report.GetSequence(),
+		Process:  s.gates.config.Process,
 	}
 	if proto.Equal(report, s.report) {
 		return
 	}
-	// The stamp of the clock also increases across nodes, so that a report of the
-	// next gate counts as newer than those of its predecessor.
+	// The stamps of one process always rise. Nodes of older builds know no processes and
+	// take the report with the highest stamp.
 	report.Sequence = uint64(s.gates.config.Recorder.Clock.Now())
 	s.report = report
 }
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -116,7 +116,7 @@
 		reportedVersions:  make([]heldVersions, len(definition.Upstreams)),
 		admittedFractions: admission.AdmitAll(),
 	}
-	s.report = &wire.Report{Service: definition.Name}
+	s.report = &wire.Report{Service: definition.Name, Process: g.config.Process}
 	s.initQueue(d)
 	return s
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -179,6 +179,7 @@
 	})
 	n.gates = gate.New(gate.Config{
 		VM:          n.options.VM,
+		Process:     n.process,
 		Recorder:    n.recorder,
 		Mode:        n.options.Mode,
 		DirectNodes: n.options.DirectNodes,
--- a/internal/timeline/clock.go
+++ b/internal/timeline/clock.go
@@ -5,8 +5,16 @@
 	"time"
 )
 
-// logicalBits is the width of the logical counter in the low bits of a Stamp.
-const logicalBits = 12
+const (
+	// logicalBits is the width of the logical counter in the low bits of a Stamp.
+	logicalBits = 12
+	// maximumLead is how far ahead of the wall clock a stamp of another node may be to
+	// be observed. A stamp further ahead comes from a node whose clock is wrong.
+	maximumLead = 24 * time.Hour
+	// maximumStamp is the highest stamp of the wall clock, of the year 2103. It leaves
+	// room for all stamps that follow.
+	maximumStamp Stamp = 15 << 60
+)
 
 // Stamp is a timestamp of the hybrid logical clock: Unix microseconds in the upper
 // 52 bits and a logical counter in the lower 12. Of two causally ordered events
@@ -31,19 +39,28 @@
 }
 
 // Observe advances the clock past a stamp received from another node and returns
-// the new stamp.
+// the new stamp. It ignores a stamp that is more than maximumLead ahead.
 func (c *Clock) Observe(remote Stamp) Stamp {
-	return c.advance(uint64(remote))
+	if remote > wallStamp(time.Now().Add(maximumLead)) {
+		remote = 0
+	}
+	return c.advance(remote)
 }
 
 // advance returns a stamp greater than last and floor and not before the wall clock.
-func (c *Clock) advance(floor uint64) Stamp {
+func (c *Clock) advance(floor Stamp) Stamp {
 	for {
 		last := c.last.Load()
-		wall := uint64(time.Now().UnixMicro()) << logicalBits
-		next := max(wall, last+1, floor+1)
-		if c.last.CompareAndSwap(last, next) {
-			return Stamp(next)
+		next := max(wallStamp(time.Now()), Stamp(last)+1, floor+1)
+		if c.last.CompareAndSwap(last, uint64(next)) {
+			return next
 		}
 	}
 }
+
+// wallStamp returns the first stamp of a time of day: 0 before 1970, and maximumStamp
+// if the time is too late for one.
+func wallStamp(now time.Time) Stamp {
+	micros := min(max(0, now.UnixMicro()), int64(maximumStamp>>logicalBits))
+	return Stamp(micros) << logicalBits
+}
