--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -150,7 +150,9 @@
 	if err != nil {
 		return upstreams, err
 	}
-	return snapshotFromWire(answer.GetUpstreams())
+	upstreams, unreadable := snapshotFromWire(answer.GetUpstreams())
+	n.unreadableNotices.note(peer.VM, unreadable)
+	return upstreams, nil
 }
 
 // randomReadyPeer returns a random other member that is ready; half of the time
@@ -189,16 +191,18 @@
 	return &wire.Upstreams{Revision: uint64(snapshot.Revision), Registrations: registrationsToWire(snapshot.Registrations), Notices: notices}
 }
 
-func snapshotFromWire(upstreams *wire.Upstreams) (snapshot upstream.Snapshot, err error) {
+// snapshotFromWire also returns the notices that can't be read, which it leaves out.
+func snapshotFromWire(upstreams *wire.Upstreams) (snapshot upstream.Snapshot, unreadable []*wire.Notice) {
 	snapshot = upstream.Snapshot{Revision: upstream.Revision(upstreams.GetRevision()), Registrations: registrationsFromWire(upstreams.GetRegistrations())}
 	for _, notice := range upstreams.GetNotices() {
 		revision, err := upstream.DecodeRevision(notice.GetIncarnation())
 		if err != nil {
-			return upstream.Snapshot{}, errors.WithMessagef(err, "notice of upstream %q", notice.GetUpstream())
+			unreadable = append(unreadable, notice)
+			continue
 		}
 		snapshot.Reports = append(snapshot.Reports, upstream.LeaveReport{ID: notice.GetUpstream(), Revision: revision})
 	}
-	return snapshot, nil
+	return snapshot, unreadable
 }
 
 func registrationsToWire(registrations []upstream.Registration) []*wire.Registration {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -80,7 +80,8 @@
 	registry *prometheus.Registry
 	keys     *keys.Store
 	// adapter connects to another platform; nil on the product's own.
-	adapter Adapter
+	adapter           Adapter
+	unreadableNotices *unreadableNotices
 	// handling is the number of callers' requests whose body is being read, that are in
 	// progress, or whose answer is being written.
 	handling atomic.Int64
@@ -113,6 +114,8 @@
 		timers:   timer.NewService(),
 		platform: platform.NewClient(platform.Config{URL: options.Platform}),
 		done:     make(chan struct{}),
+
+		unreadableNotices: newUnreadableNotices(log),
 	}
 	n.ending, n.cancel = context.WithCancel(context.Background())
 	if err := n.listen(); err != nil {
