A forwarded request is answered within the time of the node that waits for it

What a caller saw: its order was still running at another node when the deadline came. It was answered unknown (gateLost), and that node, in good health, was reported as unreachable and suspected.

Cause: the runner counted the kind's deadline from when the forward arrived, as Forward.RemainingMicros was sent and never read, so that it answered just after the other one had given up.

Now the runner keeps to the time that is left, less the margin of other replies, also for a deadline that the caller asked for; and a wait that ends by the deadline says so (deadlineExceeded) and accuses nobody. A link that has gone silent still ends the call before.

--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -34,7 +34,7 @@
 // executeKeyed runs a request that must run at most once.
 func (e *Entry) executeKeyed(ctx context.Context, view *View, kind document.Kind, request query.Request, id string, received time.Time) *answer.Answer {
 	k := &keyedRequest{entry: e, view: view, kind: kind, request: request, id: id, received: received}
-	ctx, cancel := context.WithDeadline(ctx, received.Add(kind.Deadline))
+	ctx, cancel := context.WithDeadline(ctx, received.Add(timeLimit(request, kind)))
 	defer cancel()
 	switch {
 	case request.Key == "" || len(request.Key) > query.MaximumKeyBytes || strings.ContainsAny(request.Key, "\r\n\x00"):
@@ -204,6 +204,10 @@
 	if err != nil && m.State == member.Dead {
 		return k.issuerGoneAnswer()
 	}
+	if err != nil && ctx.Err() != nil {
+		// The process may be at work; a link that has gone silent ends the call itself.
+		return k.unknownAnswer(answer.CodeDeadline, "the process that may run the request has not answered in time; the request may be sent again with the same key", true)
+	}
 	if err != nil {
 		k.entry.config.ReportFailure(vm)
 		return k.unknownAnswer(answer.CodeGateLost, "the process that may run the request can't be reached; the request may be sent again with the same key", true)
@@ -224,7 +228,7 @@
 	deadline, _ := ctx.Deadline()
 	call := &wire.Call{Body: &wire.Call_Forward{Forward: &wire.Forward{
 		Request:         body,
-		RemainingMicros: time.Until(deadline).Microseconds(),
+		RemainingMicros: (time.Until(deadline) - replyMargin).Microseconds(),
 	}}}
 	reply, err := k.entry.config.Network.CallUnary(ctx, m.VM, m.PeerAddress, call)
 	if err != nil {
@@ -238,19 +242,28 @@
 }
 
 // Forwarded handles a request that another node forwarded, in the same way as one
-// from a caller. The request may be forwarded again: if its ticket names another
-// process, or if this process has no run under its key and can't take over its
-// claim, which has no answer yet. The returned message is empty if the request can't be decoded or its answer
-// can't be encoded.
+// from a caller, within the time that is left of that node's. The request may be
+// forwarded again: if its ticket names another process, or if this process has no run
+// under its key and can't take over its claim, which has no answer yet. The returned
+// message is empty if the request can't be decoded or its answer can't be encoded.
 func (e *Entry) Forwarded(ctx context.Context, forward *wire.Forward) *wire.Forwarded {
 	var request query.Request
 	if err := json.Unmarshal(forward.GetRequest(), &request); err != nil {
 		return &wire.Forwarded{}
 	}
-	a := e.Answer(ctx, request)
+	a := e.Answer(ctx, withinMicros(request, forward.GetRemainingMicros()))
 	body, err := json.Marshal(a)
 	if err != nil {
 		return &wire.Forwarded{}
 	}
 	return &wire.Forwarded{HttpStatus: uint32(httpStatus(a)), Answer: body}
 }
+
+// withinMicros returns the request with a deadline no later than the remaining time.
+func withinMicros(request query.Request, remaining int64) query.Request {
+	millis := max(1, remaining/1000)
+	if request.DeadlineMillis <= 0 || request.DeadlineMillis > millis {
+		request.DeadlineMillis = millis
+	}
+	return request
+}
