After a suspension, replies that have arrived go before timers that are due

A process that is stopped and goes on finds the timers of its requests due and their replies in the sockets. The forwarder took whichever came first: it answered "timed out" though the reply was there, and sent further attempts for requests that were answered. An attempt's deadline, noticed late, hid a reply that had come long before.

Change: a forwarder that runs 250 ms or more after it was due first handles what arrives within 50 ms, then looks at the time. A connection to an upstream returns what has arrived also after its deadline.

--- a/internal/relay/connection.go
+++ b/internal/relay/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"net"
+	"os"
 	"slices"
 	"sync"
 	"syscall"
@@ -132,19 +133,40 @@
 	Add(float64)
 }
 
-// countingConn is a connection that counts its bytes.
+// countingConn is a connection that counts its bytes, and of which everything can be read
+// that has arrived by the deadline.
 type countingConn struct {
 	net.Conn
+	raw   syscall.RawConn
 	bytes byteCounter
 }
 
-// Read implements net.Conn.
+// Read implements net.Conn. After the deadline it returns what has arrived, if anything: if
+// the process did not run for a while, the deadline may be noticed before a reply that has
+// come long before it.
 func (c countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		if arrived := c.readArrived(b); arrived > 0 {
+			n, err = arrived, nil
+		}
+	}
 	c.bytes.Add(float64(n))
 	return n, err
 }
 
+// readArrived reads without waiting and returns the number of bytes.
+func (c countingConn) readArrived(b []byte) (arrived int) {
+	// An error shows up in the next read of the connection.
+	_ = c.raw.Control(func(descriptor uintptr) {
+		n, err := syscall.Read(int(descriptor), b)
+		if err == nil {
+			arrived = n
+		}
+	})
+	return arrived
+}
+
 // Write implements net.Conn.
 func (c countingConn) Write(b []byte) (int, error) {
 	n, err := c.Conn.Write(b)
@@ -157,16 +179,18 @@
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	counted := countingConn{Conn: socket, bytes: bytes}
-	c := &connection{
+	raw, err := socket.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		_ = socket.Close()
+		return nil, errors.WithStack(err)
+	}
+	counted := countingConn{Conn: socket, raw: raw, bytes: bytes}
+	return &connection{
 		net:    counted,
+		raw:    raw,
 		reader: NewReplyReader(counted),
 		writer: bufio.NewWriterSize(counted, bufferLength),
-	}
-	if syscallConn, ok := socket.(syscall.Conn); ok {
-		c.raw, err = syscallConn.SyscallConn()
-	}
-	return c, errors.WithStack(err)
+	}, nil
 }
 
 // isIdle reports whether the connection is open and has no unread bytes. An
--- a/internal/relay/connection_test.go
+++ b/internal/relay/connection_test.go
@@ -1,9 +1,13 @@
 package relay
 
 import (
+	"errors"
 	"net"
+	"os"
 	"testing"
 	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
 )
 
 // openConnection returns one end of a connection and a function that reports
@@ -50,3 +54,38 @@
 		t.Error("expired connection is still open or in the pool")
 	}
 }
+
+// TestArrivedReplyIsReadAfterTheDeadline checks that the deadline of an attempt, noticed
+// late by a process that was suspended, doesn't hide a reply that has arrived.
+func TestArrivedReplyIsReadAfterTheDeadline(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	c, err := dial(listener.Addr().String(), time.Second, prometheus.NewCounter(prometheus.CounterOpts{}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.close()
+	upstream, err := listener.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer upstream.Close()
+	if err := c.net.SetDeadline(time.Now().Add(-time.Second)); err != nil {
+		t.Fatal(err)
+	}
+	buffer := make([]byte, 8)
+	if n, err := c.net.Read(buffer); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("with nothing there: %d bytes, %v", n, err)
+	}
+	_, _ = upstream.Write([]byte("reply"))
+	time.Sleep(10 * time.Millisecond)
+	if n, err := c.net.Read(buffer); err != nil || string(buffer[:n]) != "reply" {
+		t.Errorf("read %q, %v", buffer[:n], err)
+	}
+	if n, err := c.net.Read(buffer); n > 0 || !errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("after all was read: %d bytes, %v", n, err)
+	}
+}
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -18,6 +18,12 @@
 	unneededAttemptTimeout = 300 * time.Millisecond
 	// answerMargin is the time reserved for building and sending an answer.
 	answerMargin = 4 * time.Millisecond
+	// suspensionGap is how much later than asked for a forwarder runs if its process was
+	// suspended.
+	suspensionGap = 250 * time.Millisecond
+	// arrivedReplyTime is the time after a suspension in which replies that have arrived
+	// are handled, before anything is done because of the time that has passed.
+	arrivedReplyTime = 50 * time.Millisecond
 )
 
 // forwarder forwards one request to its shards and builds the answer. It is used
@@ -101,9 +107,11 @@
 		select {
 		case e := <-f.events:
 			f.handleEvent(e)
+			f.handleArrived(ctx, maxTime(now, wakeup))
 		case <-timer.C:
 			f.relay.wakeupDelay.record(time.Since(wakeup))
 			f.plan.expectWakeup(f.relay.wakeupDelay.estimate())
+			f.handleArrived(ctx, maxTime(now, wakeup))
 			f.hedge(time.Now())
 		case <-f.relay.answerNow:
 			f.handleQueued()
@@ -114,6 +122,28 @@
 	}
 }
 
+// handleArrived handles the replies that arrived while the process was suspended, if it
+// was: the forwarder was due to run at the given time.
+func (f *forwarder) handleArrived(ctx context.Context, due time.Time) {
+	if time.Since(due) < suspensionGap {
+		return
+	}
+	timer := time.NewTimer(arrivedReplyTime)
+	defer timer.Stop()
+	for f.pendingShards > 0 {
+		select {
+		case e := <-f.events:
+			f.handleEvent(e)
+		case <-timer.C:
+			return
+		case <-f.relay.answerNow:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // startFirstAttempt starts the first attempt of a shard or queues the shard.
 func (f *forwarder) startFirstAttempt(i int) {
 	s := &f.shards[i]
--- a/internal/relay/plan.go
+++ b/internal/relay/plan.go
@@ -176,3 +176,10 @@
 	}
 	return b
 }
+
+func maxTime(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
