The stand-in and the load tool play upstreams that leave or name a delay

The protocol between a gate and an upstream had no means to say for how long an upstream wants no requests, and the stand-in could say that it leaves only in its state or by refusing requests. The load tool played an effect at one upstream only, until the end of the run, and took an unknown effect, service or replica for none.

Change: load.retryAfterMillis in replies and states. The stand-in sheds with a delay, tells that it leaves in its replies only, and counts the requests that came although it had told that it wanted none. A disturbance of a plan has a share of all upstreams, an end, a delay, and whether the platform lists the leaving upstream; what can't be played is refused.

--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -56,31 +56,6 @@
 	To   time.Duration
 }
 
-// Effect is the fault that a disturbance causes at an upstream.
-type Effect string
-
-// Effects of a disturbance.
-const (
-	// Slow multiplies the service times by slowEffectFactor.
-	Slow Effect = "slow"
-	// Dead closes the upstream.
-	Dead Effect = "dead"
-	// Silent makes the upstream accept requests and never reply.
-	Silent Effect = "silent"
-	// Leave makes the upstream refuse new requests and report that it is leaving.
-	Leave Effect = "leave"
-)
-
-// Disturbance is a fault of one upstream that starts at a given time and lasts until
-// the end of the run.
-type Disturbance struct {
-	Service string
-	// Replica is the number of the upstream in its service, from 1.
-	Replica int
-	Effect  Effect
-	At      time.Duration
-}
-
 // Phase is a part of the run that is reported separately.
 type Phase struct {
 	Name string
@@ -122,8 +97,10 @@
 	if err != nil {
 		return plan, errors.WithStack(err)
 	}
-	plan.Document, err = document.Parse(documentText)
-	return plan, err
+	if plan.Document, err = document.Parse(documentText); err != nil {
+		return plan, err
+	}
+	return plan, plan.checkDisturbances()
 }
 
 func readStreams(root *document.Table, plan *Plan) {
@@ -155,18 +132,6 @@
 	return table.DurationOr(key, fallback)
 }
 
-func readDisturbances(root *document.Table, plan *Plan) {
-	for _, table := range root.Tables("disturbance") {
-		plan.Disturbances = append(plan.Disturbances, Disturbance{
-			Service: table.Text("service"),
-			Replica: table.Count("replica"),
-			Effect:  Effect(table.Text("effect")),
-			At:      runTimeOr(table, "at", 0),
-		})
-		table.ReportUnknownKeys()
-	}
-}
-
 func readPhases(root *document.Table, plan *Plan) {
 	for _, table := range root.Tables("phase") {
 		plan.Phases = append(plan.Phases, Phase{
--- a/internal/load/report.go
+++ b/internal/load/report.go
@@ -164,8 +164,8 @@
 	if err := table.Flush(); err != nil {
 		return errors.WithStack(err)
 	}
-	_, err := fmt.Fprintf(w, "attempts %d, hedges %d, retries %d, extra upstream load %.4f, replies dropped %d\n",
-		r.GateMetrics.Attempts, r.GateMetrics.Hedges, r.GateMetrics.Retries, r.ExtraLoad(), r.GateMetrics.Dropped)
+	_, err := fmt.Fprintf(w, "attempts %d, hedges %d, retries %d, extra upstream load %.4f, replies dropped %d, unwanted by upstreams %d\n",
+		r.GateMetrics.Attempts, r.GateMetrics.Hedges, r.GateMetrics.Retries, r.ExtraLoad(), r.GateMetrics.Dropped, r.Unwanted)
 	return errors.WithStack(err)
 }
 
@@ -202,6 +202,7 @@
 	Seed      uint64        `json:"seed"`
 	Mode      string        `json:"mode"`
 	ExtraLoad float64       `json:"extraLoad"`
+	Unwanted  int           `json:"unwanted"`
 	Duration  time.Duration `json:"durationNanos"`
 }
 
@@ -217,6 +218,7 @@
 		Seed:      r.Config.Seed,
 		Mode:      string(r.Config.Mode),
 		ExtraLoad: r.ExtraLoad(),
+		Unwanted:  r.Unwanted,
 		Duration:  r.Config.Plan.Duration,
 	}))
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -21,9 +21,6 @@
 // callerCount is the number of caller names that the requests of a stream use.
 const callerCount = 8
 
-// slowEffectFactor multiplies the service times of an upstream with effect Slow.
-const slowEffectFactor = 10
-
 // linesPerShard is the mean number of records of a shard.
 const linesPerShard = 50
 
@@ -62,6 +59,9 @@
 	GateMetrics gate.Metrics
 	// ExecutionsByRequest counts the executions at upstreams by request ID.
 	ExecutionsByRequest map[string]int
+	// Unwanted counts the requests that upstreams got although they had told that they
+	// wanted none.
+	Unwanted int
 	// KindCapacity is the capacity of each kind's target, in requests per second.
 	KindCapacity map[string]float64
 }
@@ -108,9 +108,7 @@
 		r.group.Add(1)
 		go r.loop(ctx, stream, config.Seed*100+uint64(i))
 	}
-	for _, disturbance := range plan.Disturbances {
-		time.AfterFunc(time.Until(r.start.Add(disturbance.At)), func() { r.applyDisturbance(disturbance) })
-	}
+	r.scheduleDisturbances()
 	r.group.Wait()
 	return r.report(), nil
 }
@@ -193,25 +191,6 @@
 	return slowest
 }
 
-// applyDisturbance ignores a disturbance of an upstream that does not exist.
-func (r *runner) applyDisturbance(d Disturbance) {
-	upstreams := r.system.Upstreams[d.Service]
-	if d.Replica > len(upstreams) {
-		return
-	}
-	upstream := upstreams[d.Replica-1]
-	switch d.Effect {
-	case Slow:
-		upstream.InjectFaults(standin.UpstreamFaults{Slowdown: slowEffectFactor})
-	case Silent:
-		upstream.InjectFaults(standin.UpstreamFaults{Silent: true})
-	case Dead:
-		upstream.Close()
-	case Leave:
-		upstream.Leave()
-	}
-}
-
 func (r *runner) report() *Report {
 	report := &Report{
 		Config:              r.config,
@@ -230,6 +209,7 @@
 	}
 	for _, upstreams := range r.system.Upstreams {
 		for _, upstream := range upstreams {
+			report.Unwanted += upstream.Unwanted()
 			for _, execution := range upstream.Executions() {
 				report.ExecutionsByRequest[execution.RequestID]++
 			}
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -9,7 +9,9 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/go-logr/logr"
@@ -76,6 +78,10 @@
 	config Config
 	server *http.Server
 	cancel context.CancelFunc
+
+	mu sync.Mutex
+	// vms is the platform's list of VMs.
+	vms []platform.VM
 }
 
 // Start starts a local system and waits until every node is ready.
@@ -213,6 +219,7 @@
 		s.Nodes = append(s.Nodes, n)
 		vms = append(vms, platform.VM{Name: options.VM, AvailabilityZone: options.AvailabilityZone, Address: n.PeerAddress()})
 	}
+	s.vms = vms
 	s.Platform.SetVMs(vms)
 	for _, n := range s.Nodes {
 		go s.loop(ctx, n)
@@ -220,6 +227,14 @@
 	return nil
 }
 
+// ListLeaving makes the platform list the VM of an upstream as leaving.
+func (s *System) ListLeaving(u *standin.Upstream) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.vms = append(slices.Clone(s.vms), platform.VM{Name: "upstream-" + u.Address(), Address: u.Address(), Leaving: true})
+	s.Platform.SetVMs(s.vms)
+}
+
 func (s *System) loop(ctx context.Context, n *node.Node) {
 	if err := n.Run(ctx); err != nil {
 		s.config.Log.Error(err, "nodeFailed")
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -67,6 +67,10 @@
 	Unhealthy bool
 	// Shed refuses every request as overload.
 	Shed bool
+	// RetryAfter is how long the upstream says in each reply that refuses a request as
+	// overload that it wants no requests; StateRetryAfter the same in its state.
+	RetryAfter      time.Duration
+	StateRetryAfter time.Duration
 }
 
 // Execution records a request that an upstream started to run.
@@ -93,9 +97,14 @@
 	contents map[uint64]Contents
 	faults   UpstreamFaults
 	// leaving makes the upstream refuse requests; announcesLeaving only makes the
-	// state endpoint report that it is leaving.
+	// state endpoint report that it is leaving, and tellsLeaving only its replies.
 	leaving          bool
 	announcesLeaving bool
+	tellsLeaving     bool
+	// notice is what the replies told, and unwanted counts the requests that came
+	// regardless.
+	notice   notice
+	unwanted int
 	// queued counts the accepted requests, waiting or running, from acquireSlot to
 	// releaseSlot; inFlight counts the running ones.
 	queued          int
@@ -184,12 +193,12 @@
 }
 
 // Restart simulates a restart: the upstream has a new incarnation, which accepts
-// requests again after Leave.
+// requests again after Leave and TellLeaving.
 func (u *Upstream) Restart() {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.incarnation++
-	u.leaving = false
+	u.leaving, u.tellsLeaving, u.notice = false, false, notice{}
 }
 
 // Executions returns the requests that the upstream started to run, in order.
@@ -257,7 +266,7 @@
 		Index:       u.config.Index,
 		Incarnation: strconv.Itoa(u.incarnation),
 		Healthy:     !u.faults.Unhealthy,
-		Load:        upstream.Load{InFlight: u.inFlight, Queued: u.queued, Leaving: u.leaving || u.announcesLeaving},
+		Load:        upstream.Load{InFlight: u.inFlight, Queued: u.queued, Leaving: u.leaving || u.announcesLeaving, RetryAfter: upstream.RetryAfter(u.faults.StateRetryAfter)},
 	}
 	for number, contents := range u.contents {
 		state.Versions = append(state.Versions, upstream.Version{Number: number, Ranges: contents.Ranges})
@@ -275,6 +284,7 @@
 }
 
 func (u *Upstream) serveQuery(w http.ResponseWriter, r *http.Request) {
+	u.countArrival()
 	u.delayNewConnection(r.Context())
 	var request upstream.Request
 	if err := json.NewDecoder(r.Body).Decode(&request); err != nil {
@@ -448,9 +458,9 @@
 func (u *Upstream) sendReply(w http.ResponseWriter, reply upstream.Reply) {
 	end := len(reply.Records)
 	reply.End = &end
+	reply.Load = u.replyLoad(reply.Outcome)
 	u.mu.Lock()
 	faults := u.faults
-	reply.Load = &upstream.Load{InFlight: u.inFlight, Queued: u.queued, Leaving: u.leaving}
 	u.mu.Unlock()
 	faults.applyTo(&reply)
 	if !faults.Truncate {
--- a/pkg/upstream/protocol.go
+++ b/pkg/upstream/protocol.go
@@ -75,7 +75,8 @@
 	// Scores is empty or as long as Records.
 	Scores []float64 `json:"scores,omitempty"`
 	Sums   []Sum     `json:"sums,omitempty"`
-	// Load is the load that the upstream reports. It is only a hint.
+	// Load is the load that the upstream reports. It is only a hint, except for Leaving
+	// and, with outcome Shed, for RetryAfter.
 	Load *Load `json:"load,omitempty"`
 	// End must equal the number of records. It is the last member of the JSON
 	// object, so that a truncated body is detected by its absence.
@@ -87,6 +88,9 @@
 	InFlight int  `json:"inFlight"`
 	Queued   int  `json:"queued"`
 	Leaving  bool `json:"leaving,omitempty"`
+	// RetryAfter is how long the upstream wants no requests of the node, from the
+	// receipt of a reply with outcome Shed or of a state.
+	RetryAfter RetryAfter `json:"retryAfterMillis,omitempty"`
 }
 
 // Version lists the key ranges that an upstream holds in one version of its
@@ -97,7 +101,7 @@
 }
 
 // State is the state that an upstream reports. It is only a hint, except for
-// Versions and for Load.Leaving if true, which are binding.
+// Versions, for Load.Leaving if true and for Load.RetryAfter, which are binding.
 type State struct {
 	Index string `json:"index,omitempty"`
 	// Incarnation identifies the process; it changes with every start.
