A leaving node that was suspended uses the replies that have arrived

What a caller saw: a node that was told to stop was suspended, and went on 0.8 s before the end of its grace period. The reply to a request that may not be repeated had come meanwhile; the caller got 502 (unknown).

Cause: at the end of the grace period a forwarder handled the events that were queued and answered. Replies that lay in the sockets, or were just being read, were lost.

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bronzereach/bronzereach/pkg/budget"
@@ -114,7 +115,7 @@
 			f.handleArrived(ctx, maxTime(now, wakeup))
 			f.hedge(time.Now())
 		case <-f.relay.answerNow:
-			f.handleQueued()
+			f.handleLastArrived(ctx)
 			return f.buildLeavingAnswer(time.Now())
 		case <-ctx.Done():
 			return &Answer{Outcome: CallerDisconnected, Run: f.runStatus(), Attempts: f.attempts}
@@ -404,18 +405,28 @@
 	return answer
 }
 
-// handleQueued handles the events that have come already, without starting anything new.
-func (f *forwarder) handleQueued() {
-	for {
+// handleLastArrived handles what has come already, or comes within arrivedReplyTime while
+// attempts run, without starting anything new: replies may have arrived that nobody has
+// read yet.
+func (f *forwarder) handleLastArrived(ctx context.Context) {
+	timer := time.NewTimer(arrivedReplyTime)
+	defer timer.Stop()
+	for f.hasRunningAttempts() {
 		select {
 		case e := <-f.events:
 			f.handleLast(e)
-		default:
+		case <-timer.C:
+			return
+		case <-ctx.Done():
 			return
 		}
 	}
 }
 
+func (f *forwarder) hasRunningAttempts() bool {
+	return slices.ContainsFunc(f.shards, func(s shardState) bool { return len(s.running) > 0 })
+}
+
 // handleLast handles an event of a request that is about to be answered.
 func (f *forwarder) handleLast(e forwarderEvent) {
 	s := &f.shards[e.shard]
