Only a gate reports, and its report is newer than all before

Entries keep of each service the report with the highest stamp, and a report was stamped only when its content changed. So they could be left with a report of a node that is not the gate, until the content of the gate's own changed; a query then waits 500 ms and names the shard as omitted, although its gate and its upstreams are well.

Cause, in four forms: a node that began to acquire a service reported, before it had polled the upstreams, that they hold nothing, and its refusals carried that report; a gate that lost its service and got it back had its old stamp; a gate had no means against a newer report of a node that took itself for the gate; and a service whose limits were changed reported nothing held until the next poll.

Change: a report is made once a poll has ended since the node began to be the gate, and only a gate, or a standby in its place, gives it out. A gate stamps it anew when it becomes the gate, when an entry asks for it, and when a request names a newer one.

--- a/internal/gate/gates.go
+++ b/internal/gate/gates.go
@@ -237,7 +237,9 @@
 			continue
 		}
 		s.triggerPoll()
-		reports = append(reports, s.currentReport())
+		if report := s.describe(); report != nil {
+			reports = append(reports, report)
+		}
 	}
 	return reports
 }
@@ -274,9 +276,7 @@
 		return notRunReply(batch, sub, answer.CodeNotGate)
 	}
 	reply := s.serve(ctx, batch, kind, standby)
-	if report := s.currentReport(); report.GetSequence() != sub.GetKnownReport() {
-		reply.Report = report
-	}
+	reply.Report = s.reportUnlessKnown(sub.GetKnownReport(), standby)
 	return reply
 }
 
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -40,6 +40,7 @@
 	group.Wait()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.polled = true
 	s.rebuildReport()
 	s.dispatch(time.Now())
 }
@@ -107,9 +108,13 @@
 	}
 }
 
-// rebuildReport replaces the report if its content has changed. The caller holds
+// rebuildReport replaces the report if its content has changed. Before the first poll it
+// does nothing: the report would say that no upstream holds anything. The caller holds
 // s.mu.
 func (s *service) rebuildReport() {
+	if !s.polled {
+		return
+	}
 	report := &wire.Report{
 		Service:  s.definition.Name,
 		Versions: s.mergedVersions(time.Now()),
@@ -120,15 +125,48 @@
 	if proto.Equal(report, s.report) {
 		return
 	}
-	// The stamps of one process always rise. Nodes of older builds know no processes and
-	// take the report with the highest stamp.
-	report.Sequence = uint64(s.gates.config.Recorder.Clock.Now())
 	s.report = report
+	s.stampReport()
 }
 
-func (s *service) currentReport() *wire.Report {
+// stampReport makes the report newer than all others of this process. Nodes of older builds
+// know no processes and take the report with the highest stamp; the stamps of the clock
+// mostly increase across nodes too. The caller holds s.mu.
+func (s *service) stampReport() {
+	s.report = &wire.Report{
+		Service:  s.report.GetService(),
+		Versions: s.report.GetVersions(),
+		Admitted: s.report.GetAdmitted(),
+		Sequence: uint64(s.gates.config.Recorder.Clock.Now()),
+		Process:  s.report.GetProcess(),
+	}
+}
+
+// reportUnlessKnown returns the report for an entry that has the one with the given
+// sequence; nil if that is the current one, or if this node serves neither as the gate nor
+// as a standby. A gate stamps its report anew if the entry takes that of another node for
+// newer.
+func (s *service) reportUnlessKnown(known uint64, standby bool) *wire.Report {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if !s.polled || s.role != active && !standby || s.report.GetSequence() == known {
+		return nil
+	}
+	if s.role == active && known > s.report.GetSequence() {
+		s.stampReport()
+	}
+	return s.report
+}
+
+// describe returns the report, stamped anew, as the entry that asks for it has found
+// insufficient what it has; nil if this node does not know the state of the upstreams.
+func (s *service) describe() *wire.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.polled || s.role != active {
+		return nil
+	}
+	s.stampReport()
 	return s.report
 }
 
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -83,6 +83,8 @@
 	budgets     map[string]*budgets
 	random      *rand.Rand
 	lastPoll    time.Time
+	// polled is true once a poll has ended since the node began to become the gate.
+	polled bool
 	// reportedVersions holds the index versions that each upstream reports to hold,
 	// by position.
 	reportedVersions  []heldVersions
@@ -168,6 +170,7 @@
 	}
 	s.role = acquiring
 	s.acquisition++
+	s.polled = false
 	s.acquisitionEnded = make(chan struct{})
 	s.reserveFor(nil)
 	return s.acquisition, true
@@ -184,6 +187,7 @@
 		s.role = active
 		close(s.acquisitionEnded)
 		s.rebuildReport()
+		s.stampReport()
 		s.dispatch(time.Now())
 	}
 	s.mu.Unlock()
