What a node was told of a leaving upstream lasts over starts and changes of a service

A node that started after the others had told each other that an upstream leaves, and that is no watcher, learned of it only if its one reading of the list came after its first configuration. It reads the list until that is so. A notice that came before the first configuration was applied to no service and is kept for it now. A service that a new configuration changes forgot which of its upstreams leave; it takes that over, with the incarnation it is true of.

--- a/internal/gate/gates.go
+++ b/internal/gate/gates.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"maps"
 	"math/rand/v2"
 	"slices"
 	"sync"
@@ -77,15 +78,28 @@
 	return &Gates{config: config, services: map[string]*service{}}
 }
 
+// leavingUpstreams returns the addresses of the leaving upstreams of all services, with
+// their incarnations. The caller holds g.mu.
+func (g *Gates) leavingUpstreams() map[string]string {
+	leaving := map[string]string{}
+	for _, s := range g.services {
+		s.mu.Lock()
+		maps.Copy(leaving, s.upstreams.Leaving())
+		s.mu.Unlock()
+	}
+	return leaving
+}
+
 // Apply replaces the document. Unchanged services keep their state. For each
-// changed one, a new service takes over nothing but the node's role, and the old
-// one is closed: it refuses its queued sub-requests and completes its attempts in
-// flight, which do not count against the slots of the new one. Services that the
-// document no longer lists are closed too.
+// changed one, a new service takes over nothing but the node's role and which upstreams
+// are leaving, and the old one is closed: it refuses its queued sub-requests and completes
+// its attempts in flight, which do not count against the slots of the new one. Services
+// that the document no longer lists are closed too.
 func (g *Gates) Apply(d *document.Document) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.document = d
+	leaving := g.leavingUpstreams()
 	kept := map[string]*service{}
 	for _, definition := range d.Services {
 		old, found := g.services[definition.Name]
@@ -95,6 +109,7 @@
 			continue
 		}
 		kept[definition.Name] = newService(g, definition, d)
+		kept[definition.Name].upstreams.TakeOverLeaving(leaving)
 		if found {
 			// An acquisition in progress is not taken over: the next call of Acquire
 			// starts another.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -114,6 +114,10 @@
 	// takes effect.
 	nextConfirmation time.Time
 	notices          *member.GossipQueue[string, *wire.Notice]
+	// vmsListed is true once a list of VMs was handled with a configuration.
+	vmsListed atomic.Bool
+	// earlyNotices are those that came before the first configuration.
+	earlyNotices     []*wire.Notice
 	seenNotices      util.Set[string]
 	storeUnavailable bool
 	// peers are the peer addresses from the settings.
@@ -321,6 +325,7 @@
 	}
 	c.services = assignment.NewServices(names)
 	c.node.gates.Apply(parsed)
+	c.applyEarlyNotices()
 	c.assigned = nil
 	c.node.recorder.Record(timeline.Event{
 		Name:          timeline.ConfigApplied,
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -234,9 +234,22 @@
 		c.node.adapter.MarkUpstreamLeaving(notice.GetUpstream(), notice.GetIncarnation())
 		return
 	}
+	if c.document == nil {
+		c.earlyNotices = append(c.earlyNotices, notice)
+		return
+	}
 	c.node.gates.MarkUpstreamLeaving(notice.GetUpstream(), notice.GetIncarnation())
 }
 
+// applyEarlyNotices applies the notices that came before the first configuration, which
+// names the upstreams.
+func (c *control) applyEarlyNotices() {
+	for _, notice := range c.earlyNotices {
+		c.node.gates.MarkUpstreamLeaving(notice.GetUpstream(), notice.GetIncarnation())
+	}
+	c.earlyNotices = nil
+}
+
 // exchangeFailed is the event that a member did not answer an exchange.
 type exchangeFailed struct {
 	vm            string
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -110,14 +110,16 @@
 	}
 }
 
-// vmLoop reads the platform's list of VMs while the node is a watcher or joining.
+// vmLoop reads the platform's list of VMs while the node is a watcher or joining, and until
+// it has handled one with a configuration: what other nodes have told of leaving upstreams
+// before, they don't tell again.
 func (c *control) vmLoop(ctx context.Context) error {
 	var pause backoff
 	for ctx.Err() == nil {
 		if c.joining.Load() {
 			c.post(introductionRequested{addresses: c.node.options.Peers})
 		}
-		if !c.joining.Load() && !c.watching.Load() {
+		if !c.joining.Load() && !c.watching.Load() && c.vmsListed.Load() {
 			util.Sleep(ctx, idleInterval)
 			continue
 		}
@@ -139,6 +141,7 @@
 }
 
 func (e vmListRead) apply(ctx context.Context, c *control, now time.Time) {
+	c.vmsListed.Store(c.document != nil)
 	var unknown []string
 	for _, vm := range e.vms {
 		if vm.Leaving {
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -307,6 +307,29 @@
 	return changed
 }
 
+// Leaving returns the addresses of the upstreams that are leaving, with the incarnation of
+// each that is; empty if it isn't known.
+func (s *Set) Leaving() map[string]string {
+	leaving := map[string]string{}
+	for _, state := range s.states {
+		if state.leaving {
+			leaving[state.address] = state.incarnation
+		}
+	}
+	return leaving
+}
+
+// TakeOverLeaving marks the upstreams that another set knew to be leaving, as of an
+// incarnation. It is to be called before the first state of an upstream is known.
+func (s *Set) TakeOverLeaving(leaving map[string]string) {
+	for position := range s.states {
+		state := &s.states[position]
+		if incarnation, found := leaving[state.address]; found {
+			state.leaving, state.incarnation = true, incarnation
+		}
+	}
+}
+
 // UpdateState records the incarnation and the index versions that the upstream
 // reports. For a new incarnation the concurrency limit starts again at 1, and the
 // latency, the failures and the leaving mark are cleared.
--- a/pkg/replica/replica_test.go
+++ b/pkg/replica/replica_test.go
@@ -182,3 +182,21 @@
 		})
 	}
 }
+
+// TestLeavingMarkIsTakenOver checks that a set keeps what another one knew of a leaving
+// incarnation, and uses the upstream's next one.
+func TestLeavingMarkIsTakenOver(t *testing.T) {
+	before := NewSet([]string{"a", "b"}, 1)
+	before.UpdateState(0, "first", nil)
+	before.MarkLeaving(0, "")
+	after := NewSet([]string{"b", "a"}, 1)
+	after.TakeOverLeaving(before.Leaving())
+	after.UpdateState(1, "first", nil)
+	if leaving := after.Leaving(); len(leaving) != 1 || leaving["a"] != "first" {
+		t.Errorf("leaving are %v", leaving)
+	}
+	after.UpdateState(1, "second", nil)
+	if leaving := after.Leaving(); len(leaving) != 0 {
+		t.Errorf("of the next incarnation leaving are %v", leaving)
+	}
+}
