--- a/pkg/member/watchers_test.go
+++ b/pkg/member/watchers_test.go
@@ -36,3 +36,19 @@
 		}
 	}
 }
+
+// TestLeavingMembersWatchIfNoOtherDoes checks that a region whose members all leave at once
+// still has watchers, and that they are none beside ready ones.
+func TestLeavingMembersWatchIfNoOtherDoes(t *testing.T) {
+	members := readyMembers(9)
+	for i := range members {
+		members[i].State = Leaving
+	}
+	if got := len(Watchers(members)); got != minimumWatchers {
+		t.Errorf("%d watchers among leaving members, want %d", got, minimumWatchers)
+	}
+	members[4].State = Ready
+	if watchers := Watchers(members); len(watchers) != 1 || watchers[0].VM != members[4].VM {
+		t.Errorf("watchers beside a ready member: %v", watchers)
+	}
+}
