Events can say what an upstream told that decided that it gets nothing

Events that belong to a request weren't logged at all.

Change: timeline.Told, with the source (reply, state, notice), the outcome and age of the reply, the time named and the one kept, and the number of upstreams left.

--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -243,5 +243,12 @@
 	if event.ConfigVersion != 0 {
 		line += fmt.Sprintf(" configVersion=%d", event.ConfigVersion)
 	}
+	if event.Told == nil {
+		return line
+	}
+	pairs := event.Told.Pairs()
+	for i := 0; i < len(pairs); i += 2 {
+		line += fmt.Sprintf(" %v=%v", pairs[i], pairs[i+1])
+	}
 	return line
 }
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -9,6 +9,7 @@
 	"sync"
 
 	"github.com/go-logr/logr"
+	"golang.org/x/time/rate"
 )
 
 // ringSize is the number of events that a node keeps.
@@ -35,6 +36,7 @@
 	ConfigApplied     Name = "configApplied"
 	ConfigPromoted    Name = "configPromoted"
 	UpstreamLeaving   Name = "upstreamLeaving"
+	UpstreamBacksOff  Name = "upstreamBacksOff"
 	UpstreamChanged   Name = "upstreamChanged"
 	StoreLost         Name = "storeLost"
 	StoreFound        Name = "storeFound"
@@ -54,6 +56,8 @@
 	Member        string `json:"member,omitempty"`
 	ConfigVersion uint64 `json:"configVersion,omitempty"`
 	Detail        string `json:"detail,omitempty"`
+	// Told is set if the event is a decision that an upstream gets nothing.
+	Told *Told `json:"told,omitempty"`
 }
 
 // Filter selects the events that match all of its fields. An empty field matches
@@ -87,7 +91,11 @@
 
 	vm  string
 	log logr.Logger
-	mu  sync.Mutex
+	// toldLines bounds the log lines of events with Told.
+	toldLines *rate.Limiter
+	mu        sync.Mutex
+	// toldSkipped counts such lines that were left out since the last one.
+	toldSkipped int
 	// ring holds the newest events. Once it is full, next is the index of the oldest
 	// event, which is overwritten next.
 	ring []Event
@@ -95,18 +103,27 @@
 }
 
 // NewRecorder returns an empty recorder for the VM. Events that belong to no
-// request are also written to log.
+// request, and a bounded number of those with Told, are also written to log.
 func NewRecorder(vm string, log logr.Logger) *Recorder {
-	return &Recorder{Clock: &Clock{}, vm: vm, log: log, ring: make([]Event, 0, ringSize)}
+	return &Recorder{
+		Clock:     &Clock{},
+		vm:        vm,
+		log:       log,
+		toldLines: rate.NewLimiter(toldLinesPerSecond, toldLinesPerSecond),
+		ring:      make([]Event, 0, ringSize),
+	}
 }
 
 // Record stamps the event with the time and the VM and stores it. An event without
-// a request ID is also logged.
+// a request ID or with Told is also logged.
 func (r *Recorder) Record(event Event) {
 	event.Stamp = r.Clock.Now()
 	event.VM = r.vm
 	r.store(event)
-	if event.RequestID == "" {
+	switch {
+	case event.Told != nil:
+		r.logTold(event)
+	case event.RequestID == "":
 		r.logEvent(event)
 	}
 }
@@ -123,8 +140,9 @@
 	r.next = (r.next + 1) % ringSize
 }
 
-// logEvent logs the event by its name, with its non-empty fields as pairs.
-func (r *Recorder) logEvent(event Event) {
+// logEvent logs the event by its name, with its non-empty fields and further ones as
+// pairs.
+func (r *Recorder) logEvent(event Event, further ...any) {
 	pairs := []any{"vm", event.VM}
 	for _, pair := range [][2]string{
 		{"service", event.Service},
@@ -139,7 +157,7 @@
 	if event.ConfigVersion != 0 {
 		pairs = append(pairs, "configVersion", event.ConfigVersion)
 	}
-	r.log.Info(string(event.Name), pairs...)
+	r.log.Info(string(event.Name), append(pairs, further...)...)
 }
 
 // Events returns the stored events that match the filter, oldest first.
