--- a/internal/entry/keyed_test.go
+++ b/internal/entry/keyed_test.go
@@ -10,7 +10,6 @@
 	"github.com/bronzereach/bronzereach/internal/peer"
 	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/pkg/answer"
-	"github.com/bronzereach/bronzereach/pkg/document"
 	"github.com/bronzereach/bronzereach/pkg/member"
 	"github.com/bronzereach/bronzereach/pkg/query"
 )
@@ -22,26 +21,8 @@
 	const vm, process = "vm-1", 7
 	recorder := timeline.NewRecorder(vm, logr.Discard())
 	network := peer.NewNetwork(peer.Config{VM: vm, Process: process, Clock: recorder.Clock})
-	parsed, err := document.Parse([]byte(`name = "test"
-[[rank]]
-name = "urgent"
-[[pool]]
-name = "orders"
-slots = 1
-connections = 8
-upstreams = ["127.0.0.1:1"]
-[[kind]]
-name = "order"
-rank = "urgent"
-pool = "orders"
-deadline = "500ms"
-repeat = false
-`))
-	if err != nil {
-		t.Fatal(err)
-	}
 	self := member.Member{VM: vm, Incarnation: 1, State: member.Ready, PeerAddress: "127.0.0.1:1"}
-	view := &View{Document: parsed, Self: self, Members: map[string]member.Member{vm: self}}
+	view := &View{Document: parseOrders(t, 500*time.Millisecond), Self: self, Members: map[string]member.Member{vm: self}}
 	e := New(Config{
 		VM: vm, Process: process, Recorder: recorder, Network: network,
 		View:          func() *View { return view },
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -12,39 +12,17 @@
 	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/answer"
-	"github.com/bronzereach/bronzereach/pkg/document"
 	"github.com/bronzereach/bronzereach/pkg/member"
 	"github.com/bronzereach/bronzereach/pkg/query"
 )
 
-// leavingDocument has one kind of work that must not be repeated.
-const leavingDocument = `name = "test"
-[[rank]]
-name = "urgent"
-[[pool]]
-name = "orders"
-slots = 1
-connections = 8
-upstreams = ["127.0.0.1:1"]
-[[kind]]
-name = "order"
-rank = "urgent"
-pool = "orders"
-deadline = "20s"
-repeat = false
-`
-
 // newLeavingEntry returns an entry whose batches are in progress until the test ends;
 // served is closed once one is.
 func newLeavingEntry(t *testing.T) (e *Entry, served chan struct{}) {
 	const vm, process = "vm-1", 7
 	recorder := timeline.NewRecorder(vm, logr.Discard())
-	parsed, err := document.Parse([]byte(leavingDocument))
-	if err != nil {
-		t.Fatal(err)
-	}
 	self := member.Member{VM: vm, Incarnation: 1, State: member.Ready, PeerAddress: "127.0.0.1:1"}
-	view := &View{Document: parsed, Self: self, Members: map[string]member.Member{vm: self}}
+	view := &View{Document: parseOrders(t, 20*time.Second), Self: self, Members: map[string]member.Member{vm: self}}
 	served = make(chan struct{})
 	ended := make(chan struct{})
 	t.Cleanup(func() { close(ended) })
--- a/internal/entry/reports_test.go
+++ b/internal/entry/reports_test.go
@@ -10,24 +10,8 @@
 	"github.com/bronzereach/bronzereach/internal/gate"
 	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/internal/wire"
-	"github.com/bronzereach/bronzereach/pkg/document"
 )
 
-const reportDocument = `name = "test"
-[[rank]]
-name = "urgent"
-[[pool]]
-name = "orders"
-slots = 1
-connections = 8
-upstreams = ["127.0.0.1:1"]
-[[kind]]
-name = "order"
-rank = "urgent"
-pool = "orders"
-deadline = "20s"
-`
-
 // startGate returns the report of the gate of "orders" in a new process whose clock is
 // ahead of the time of day.
 func startGate(t *testing.T, process uint64, ahead time.Duration) *wire.Report {
@@ -35,13 +19,9 @@
 	recorder := timeline.NewRecorder("vm-1", logr.Discard())
 	recorder.Clock.Observe(timeline.Stamp(time.Now().Add(ahead).UnixMicro() << 12))
 	gates := gate.New(gate.Config{VM: "vm-1", Process: process, Recorder: recorder, Mode: gate.Gated})
-	d, err := document.Parse([]byte(reportDocument))
-	if err != nil {
-		t.Fatal(err)
-	}
 	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
 	t.Cleanup(cancel)
-	gates.Apply(d)
+	gates.Apply(parseOrders(t, 20*time.Second))
 	gates.Acquire(ctx, "orders", nil)
 	reports := gates.Describe(ctx, []string{"orders"})
 	if len(reports) != 1 || reports[0].GetSequence() == 0 {
