Idle connections to all upstreams together are bounded by the descriptors

Idle connections were bounded for each upstream only: by its connection limit, or not at all. A node that uses many upstreams kept one or more to each, and could use up the descriptors that peers, the store and requests need.

To make room for a connection the one that has been idle for longest is given up, whichever upstream it is to.

Test: TestIdleConnectionsToAllUpstreamsAreBounded, 12 upstreams used one after the other. Without a bound, as before, 12 connections stay open; with one of 4 the last 4. TestIdleBoundHoldsAmongPools: eight pools at once keep the bound and count. Both and internal/relay pass with -race.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -68,6 +68,8 @@
 	// ReportStoreCall reports the outcome of a call to the platform's store; err
 	// is nil if it was answered.
 	ReportStoreCall(err error)
+	// MaxDescriptors returns how many file descriptors the process may have.
+	MaxDescriptors() int
 	// Options returns the node's settings.
 	Options() Options
 	// Log returns the node's log.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -211,7 +211,7 @@
 	}
 	n.callerConns = newCallerConns(callerConnsConfig{
 		Timeouts: n.callerTimeouts,
-		Maximum:  int(callerDescriptorShare * float64(maxDescriptors())),
+		Maximum:  int(callerDescriptorShare * float64(n.MaxDescriptors())),
 		Timers:   n.timers,
 		Log:      n.log,
 	})
@@ -242,13 +242,13 @@
 // defaultDescriptors is assumed if the limit of file descriptors can't be read.
 const defaultDescriptors = 1024
 
-// maxDescriptors returns how many file descriptors the process may have.
-func maxDescriptors() uint64 {
+// MaxDescriptors returns how many file descriptors the process may have.
+func (n *Node) MaxDescriptors() int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		return defaultDescriptors
 	}
-	return min(limit.Cur, math.MaxInt32)
+	return int(min(limit.Cur, math.MaxInt32))
 }
 
 // countRequests returns a handler that counts the requests that it passes on.
--- a/internal/relay/connection.go
+++ b/internal/relay/connection.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"net"
 	"os"
 	"slices"
@@ -28,11 +29,11 @@
 // replicaGroup is the group of all replicas of one service.
 type replicaGroup = replica.Group[*pool]
 
-func newReplicaGroup(service, zone string) *replicaGroup {
+func newReplicaGroup(service, zone string, idle *idleConnections) *replicaGroup {
 	return replica.NewGroup(replica.GroupConfig[*pool]{
 		Service:          service,
 		AvailabilityZone: zone,
-		NewData:          func(r upstream.Registration) *pool { return &pool{registration: r} },
+		NewData:          func(r upstream.Registration) *pool { return &pool{registration: r, shared: idle} },
 	})
 }
 
@@ -46,12 +47,18 @@
 	// idleUntil is the time from which the upstream may close the idle
 	// connection.
 	idleUntil time.Time
+
+	// position is the place among all idle connections, guarded by their lock; nil if the
+	// connection is not idle.
+	position *list.Element
 }
 
 // pool holds the idle connections to one upstream, the oldest first.
 type pool struct {
 	// registration is the first one that was known of the upstream, and is not changed.
 	registration upstream.Registration
+	// shared bounds the idle connections of all pools. Its lock is taken after mu.
+	shared *idleConnections
 
 	mu     sync.Mutex
 	idle   []*connection
@@ -82,23 +89,50 @@
 	last := len(p.idle) - 1
 	c := p.idle[last]
 	p.idle = p.idle[:last]
+	p.shared.remove(c)
 	return c
 }
 
 // put adds an idle connection. If the pool is full, it closes the connections that
-// have been idle for longest, because the upstream closes those first.
+// have been idle for longest, because the upstream closes those first. If there are too
+// many in all pools, it closes the one that has been idle for longest of those.
 func (p *pool) put(c *connection, maxIdle int) {
+	if longest, found := p.insert(c, maxIdle); found {
+		longest.owner.giveUp(longest.connection)
+	}
+}
+
+// insert adds an idle connection to this pool and returns the one that its pool must give
+// up for it; found is false if there is room.
+func (p *pool) insert(c *connection, maxIdle int) (longest idleConnection, found bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed || maxIdle < 1 {
 		c.close()
-		return
+		return longest, false
 	}
 	for len(p.idle) >= maxIdle {
-		p.idle[0].close()
+		p.closeIdle(p.idle[0])
 		p.idle = slices.Delete(p.idle, 0, 1)
 	}
 	p.idle = append(p.idle, c)
+	return p.shared.add(c, p)
+}
+
+// giveUp closes a connection unless it is no longer idle.
+func (p *pool) giveUp(c *connection) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if position := slices.Index(p.idle, c); position >= 0 {
+		p.idle = slices.Delete(p.idle, position, position+1)
+		p.closeIdle(c)
+	}
+}
+
+// closeIdle closes a connection that is taken from idle. The caller holds mu.
+func (p *pool) closeIdle(c *connection) {
+	p.shared.remove(c)
+	c.close()
 }
 
 // closeExpired closes the idle connections whose idleUntil has passed, as the
@@ -112,7 +146,7 @@
 			kept = append(kept, c)
 			continue
 		}
-		c.close()
+		p.closeIdle(c)
 	}
 	p.idle = kept
 }
@@ -123,7 +157,7 @@
 	defer p.mu.Unlock()
 	p.closed = true
 	for _, c := range p.idle {
-		c.close()
+		p.closeIdle(c)
 	}
 	p.idle = nil
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -52,7 +52,9 @@
 	// UpstreamLeaves is called, from any goroutine, when an upstream tells in a reply
 	// that it leaves; nil if nobody asks.
 	UpstreamLeaves func(upstream.Instance)
-	Log            logr.Logger
+	// MaxIdle is the number of idle connections to all upstreams together; 0 for no bound.
+	MaxIdle int
+	Log     logr.Logger
 }
 
 // Fleet tells how many nodes share what upstreams allow, such as connections.
@@ -78,6 +80,7 @@
 	// mu serializes writers of routingState.
 	mu           sync.Mutex
 	routingState atomic.Pointer[routingState]
+	idle         *idleConnections
 
 	// replicaReplaced is true from when a reply shows that an upstream is not at its
 	// address until the next Tick.
@@ -119,6 +122,7 @@
 	r := &Relay{
 		config:           config,
 		started:          time.Now(),
+		idle:             newIdleConnections(config.MaxIdle),
 		Metrics:          newMetrics(),
 		hedgeDelays:      newHedgeDelays(),
 		deadlineTrackers: newDeadlineTrackers(),
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -59,7 +59,7 @@
 	return &service{
 		name:         name,
 		relay:        r,
-		replicaGroup: newReplicaGroup(name, r.config.AvailabilityZone),
+		replicaGroup: newReplicaGroup(name, r.config.AvailabilityZone, r.idle),
 		window:       budget.NewWindow(r.config.Budget),
 		random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		maxIdle:      1,
