A listener outlives every passing error of accepting

Class of the passing error that ends a process, looked for again in each loop that returns on an error. The peers' listener had been mended by itself.

Change: one listener for all of them, which tries again after a pause of 5 ms to 1 s, and whose close ends the pause. The peers' loop uses it in place of its own.

Tests: TestShortageOfBuffersDoesNotEndANode, before: "the node ended: node vm-0: accept tcp: accept4: no buffer space available"; after: 3 of 3 with -race. TestPassingErrorsDoNotEndAListener, TestCloseEndsThePauseOfAListener and the peers' test pass with -race.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -336,7 +336,10 @@
 }
 
 func (n *Node) serveCallers() error {
-	var listener net.Listener = callerListener{Listener: n.callers, conns: n.callerConns}
+	patient := util.NewPatientListener(n.callers, func(err error, pause time.Duration) {
+		n.log.Info("callerNotAccepted", "error", err.Error(), "pauseMs", pause.Milliseconds())
+	})
+	var listener net.Listener = callerListener{Listener: patient, conns: n.callerConns}
 	if n.keys != nil {
 		listener = tls.NewListener(listener, n.keys.ServerTLSConfig())
 	}
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -93,35 +93,24 @@
 }
 
 // Serve accepts links until the listener is closed or the context ends, then returns the
-// error. It closes the listener when the context ends. Any other error, such as a lack of
-// file descriptors, passes: Serve tries again after a pause.
+// error. It closes the listener when the context ends. Any other error passes.
 func (n *Network) Serve(ctx context.Context, listener net.Listener) error {
-	context.AfterFunc(ctx, func() { _ = listener.Close() })
-	pause := minAcceptPause
+	patient := util.NewPatientListener(listener, func(err error, pause time.Duration) {
+		n.config.Log.Info("peerNotAccepted", "error", err.Error(), "pauseMs", pause.Milliseconds())
+	})
+	context.AfterFunc(ctx, func() { _ = patient.Close() })
 	for {
-		conn, err := listener.Accept()
+		conn, err := patient.Accept()
 		switch {
 		case ctx.Err() != nil:
 			return ctx.Err()
-		case errors.Is(err, net.ErrClosed):
-			return errors.WithStack(err)
 		case err != nil:
-			n.config.Log.Info("peerNotAccepted", "error", err.Error(), "pauseMs", pause.Milliseconds())
-			util.Sleep(ctx, pause)
-			pause = min(2*pause, maxAcceptPause)
-			continue
+			return errors.WithStack(err)
 		}
-		pause = minAcceptPause
 		go n.accept(ctx, conn)
 	}
 }
 
-// Bounds of the pause after a connection could not be accepted.
-const (
-	minAcceptPause = 5 * time.Millisecond
-	maxAcceptPause = time.Second
-)
-
 func (n *Network) accept(ctx context.Context, conn net.Conn) {
 	if n.config.TLS != nil {
 		conn = tls.Server(conn, n.config.TLS)
