--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -211,7 +211,7 @@
 	}
 	n.callerConns = newCallerConns(callerConnsConfig{
 		Timeouts: n.callerTimeouts,
-		Maximum:  int(callerDescriptorShare * float64(maxDescriptors())),
+		Maximum:  int(callerDescriptorShare * float64(n.MaxDescriptors())),
 		Timers:   n.timers,
 		Log:      n.log,
 	})
@@ -242,13 +242,13 @@
 // defaultDescriptors is assumed if the limit of file descriptors can't be read.
 const defaultDescriptors = 1024
 
-// maxDescriptors returns how many file descriptors the process may have.
-func maxDescriptors() uint64 {
+// MaxDescriptors returns how many file descriptors the process may have.
+func (n *Node) MaxDescriptors() int {
 	var limit syscall.Rlimit
 	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
 		return defaultDescriptors
 	}
-	return min(limit.Cur, math.MaxInt32)
+	return int(min(limit.Cur, math.MaxInt32))
 }
 
 // countRequests returns a handler that counts the requests that it passes on.
@@ -336,7 +336,10 @@
 }
 
 func (n *Node) serveCallers() error {
-	var listener net.Listener = callerListener{Listener: n.callers, conns: n.callerConns}
+	patient := util.NewPatientListener(n.callers, func(err error, pause time.Duration) {
+		n.log.Info("callerNotAccepted", "error", err.Error(), "pauseMs", pause.Milliseconds())
+	})
+	var listener net.Listener = callerListener{Listener: patient, conns: n.callerConns}
 	if n.keys != nil {
 		listener = tls.NewListener(listener, n.keys.ServerTLSConfig())
 	}
