Proposal: a call never fails by its deadline before its context has ended

Cause: the stream of a call had the deadline of its context set as well. Both timers fire at the same time, and the stream's often came first: the call failed while ctx.Err() was nil. entry/scatter.go and entry/keyed.go tell by ctx.Err() whether the member failed, so that a member at work was reported as failed and a request answered gateLost; Call closed the link with all its calls if the write ended so.

Change: only the end of the context ends reads and writes.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -237,22 +237,20 @@
 }
 
 // openStream opens a stream on the link and sends the call. When ctx ends, reads
-// and writes of the stream fail.
+// and writes of the stream fail. They never fail by its deadline before ctx has ended:
+// callers tell by ctx whether the peer failed or their own time is over.
 func (l *link) openStream(ctx context.Context, call *wire.Call, clock *timeline.Clock) (*Stream, error) {
 	stream, err := l.session.OpenStream()
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
-	if deadline, ok := ctx.Deadline(); ok {
-		_ = stream.SetDeadline(deadline)
-	}
+	s := &Stream{stream: stream, reader: bufio.NewReaderSize(stream, replyBufferBytes), clock: clock}
+	s.stopContextWatch = context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	call.Clock = uint64(clock.Now())
 	if err := wire.Write(stream, call); err != nil {
-		_ = stream.Close()
+		s.Close()
 		return nil, err
 	}
-	s := &Stream{stream: stream, reader: bufio.NewReaderSize(stream, replyBufferBytes), clock: clock}
-	s.stopContextWatch = context.AfterFunc(ctx, func() { _ = stream.SetDeadline(time.Unix(1, 0)) })
 	return s, nil
 }
 
