Proposal: an idle connection to an upstream outlives the deadline of its last request

Cause: whether an idle connection is open was asked by RawConn.Read, which fails once the deadline of the exchange before has passed. So a connection idle for longer was closed and the next request dialled, though idleUntil allowed its use; until then it counted against the upstream's connections for nothing.

Change: it is asked by RawConn.Control, as readArrived does.

Test: TestIdleConnectionOutlivesTheDeadlineOfItsLastRequest fails before, passes after. internal/relay passes.

--- a/internal/relay/connection.go
+++ b/internal/relay/connection.go
@@ -204,10 +204,10 @@
 	}
 	isIdle := false
 	var buffer [1]byte
-	err := c.raw.Read(func(descriptor uintptr) bool {
+	// Not by raw.Read, which fails once the deadline of the last exchange has passed.
+	err := c.raw.Control(func(descriptor uintptr) {
 		_, err := syscall.Read(int(descriptor), buffer[:])
 		isIdle = errors.Is(err, syscall.EAGAIN)
-		return true
 	})
 	return err == nil && isIdle
 }
