Gates keep to what upstreams tell of themselves

Four causes, one class: what an upstream had told was read late, in one place or not at all.

Change: one statement per reply, state or notice, recorded before the attempt's slot is free, also in the service that has replaced the attempt's. It is about the process that was known at the address when the attempt started, so a late reply of a former process changes nothing. The backoff with its spread and slow start is the relay's (state.backOff of pkg/replica), now also of a replica.Set. A service that replaces another takes over what was told.

--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -40,8 +40,11 @@
 	service    *service
 	subRequest *subRequest
 	position   int
+	// incarnation is the process that was known at the address when the attempt started.
+	incarnation string
 	// number counts the attempts of the sub-request from 1.
-	number uint32
+	number    uint32
+	startedAt time.Time
 	// connected is set when the HTTP client has obtained a connection. From
 	// then on bytes of the request may have been sent.
 	connected atomic.Bool
@@ -50,15 +53,16 @@
 // run executes the attempt and sends its result to the sub-request.
 func (a *attempt) run(ctx context.Context) {
 	a.record(timeline.AttemptStarted, "")
-	start := time.Now()
+	a.startedAt = time.Now()
 	reply, err := a.exchange(ctx)
-	result := attemptResult{position: a.position, duration: time.Since(start)}
+	result := attemptResult{position: a.position, duration: time.Since(a.startedAt)}
 	outcome := a.classify(ctx, reply, err, &result)
-	a.service.finishAttempt(a.position, outcome, result.duration)
-	a.record(timeline.AttemptEnded, string(result.reason))
 	if reply != nil {
-		a.service.markIfLeaving(a.position, reply.Load)
+		// Finishing the attempt grants its slot to the next one.
+		a.recordStatement(reply)
 	}
+	a.service.finishAttempt(a.position, outcome, result.duration)
+	a.record(timeline.AttemptEnded, string(result.reason))
 	a.subRequest.results <- result
 }
 
@@ -107,7 +111,6 @@
 		result.reason = answer.CodeShed
 	case upstream.Leaving:
 		result.reason = answer.CodeNoUpstream
-		a.service.markLeaving(a.address(), "")
 	case upstream.VersionGone:
 		result.reason = answer.CodeVersionGone
 		a.service.removeVersion(a.position, a.subRequest.batch.GetVersion())
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -48,7 +48,13 @@
 // upstreams.
 func startGates(t *testing.T, vm string, upstreams []*standin.Upstream) *Gates {
 	t.Helper()
-	text := fmt.Sprintf(testDocument, testSlots, testConnections, upstreams[0].Address(), upstreams[1].Address())
+	return startGatesOf(t, vm, upstreams[0].Address(), upstreams[1].Address())
+}
+
+// startGatesOf is startGates for the upstreams at two addresses.
+func startGatesOf(t *testing.T, vm, first, second string) *Gates {
+	t.Helper()
+	text := fmt.Sprintf(testDocument, testSlots, testConnections, first, second)
 	parsed, err := document.Parse([]byte(text))
 	if err != nil {
 		t.Fatal(err)
--- a/internal/gate/gates.go
+++ b/internal/gate/gates.go
@@ -76,8 +76,8 @@
 }
 
 // Apply replaces the document. Unchanged services keep their state. For each
-// changed one, a new service takes over nothing but the node's role, and the old
-// one is closed: it refuses its queued sub-requests and completes its attempts in
+// changed one, a new service takes over nothing but the node's role and what the
+// upstreams told of themselves, and the old one is closed: it refuses its queued sub-requests and completes its attempts in
 // flight, which do not count against the slots of the new one. Services that the
 // document no longer lists are closed too.
 func (g *Gates) Apply(d *document.Document) {
@@ -94,6 +94,7 @@
 		}
 		kept[definition.Name] = newService(g, definition, d)
 		if found {
+			kept[definition.Name].takeOver(old)
 			// An acquisition in progress is not taken over: the next call of Acquire
 			// starts another.
 			if old.currentRole() == active {
@@ -216,13 +217,6 @@
 	}
 }
 
-// MarkUpstreamLeaving marks an upstream as leaving in every service that lists it.
-func (g *Gates) MarkUpstreamLeaving(upstream, incarnation string) {
-	for _, s := range g.allServices() {
-		s.markLeaving(upstream, incarnation)
-	}
-}
-
 // Describe returns the reports of the named services that the node is the gate
 // of. It waits for services that are still being acquired. It also triggers a
 // poll of the upstreams, since the caller asks because the last report that it
--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -47,26 +47,31 @@
 func (s *service) pollOne(ctx context.Context, position int) {
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	state, err := s.fetchState(ctx, s.definition.Upstreams[position])
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	sentAt, address := time.Now(), s.definition.Upstreams[position]
+	state, err := s.fetchState(ctx, address)
 	if err != nil {
 		return
 	}
+	s.updateState(position, state)
+	s.recordStatement(statement{
+		address:     address,
+		incarnation: state.Incarnation,
+		leaving:     state.Load.Leaving,
+		retryAfter:  time.Duration(state.Load.RetryAfter),
+		source:      timeline.State,
+		sentAt:      sentAt,
+	})
+}
+
+func (s *service) updateState(position int, state upstream.State) {
 	numbers := make([]uint64, len(state.Versions))
 	for i, version := range state.Versions {
 		numbers[i] = version.Number
 	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	s.upstreams.UpdateState(position, state.Incarnation, numbers)
 	s.reportedVersions[position] = state.Versions
-	if state.Load.Leaving && s.upstreams.MarkLeaving(position, state.Incarnation) {
-		s.gates.config.Recorder.Record(timeline.Event{
-			Name:     timeline.UpstreamLeaving,
-			Service:  s.definition.Name,
-			Upstream: s.definition.Upstreams[position],
-			Detail:   "state",
-		})
-	}
 }
 
 func (s *service) fetchState(ctx context.Context, address string) (state upstream.State, err error) {
@@ -168,15 +173,6 @@
 	return a.GetLow() == b.GetLow() && a.GetHigh() == b.GetHigh()
 }
 
-// markIfLeaving marks the upstream as leaving if its reply says so. The rest of
-// the load that an upstream reports is ignored.
-func (s *service) markIfLeaving(position int, load *upstream.Load) {
-	if load == nil || !load.Leaving {
-		return
-	}
-	s.markLeaving(s.definition.Upstreams[position], "")
-}
-
 // outcomeOf maps the outcome that an upstream returned to the one recorded in its
 // statistics.
 func outcomeOf(outcome upstream.Outcome) replica.Outcome {
--- a/internal/gate/service.go
+++ b/internal/gate/service.go
@@ -8,7 +8,6 @@
 	"sync"
 	"time"
 
-	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/admission"
 	"github.com/bronzereach/bronzereach/pkg/answer"
@@ -338,22 +337,6 @@
 	}
 }
 
-// markLeaving marks the upstream as leaving. An empty incarnation stands for the
-// current one.
-func (s *service) markLeaving(address, incarnation string) {
-	s.mu.Lock()
-	position := s.upstreams.Position(address)
-	news := position >= 0 && s.upstreams.MarkLeaving(position, incarnation)
-	s.mu.Unlock()
-	if news {
-		s.gates.config.Recorder.Record(timeline.Event{
-			Name:     timeline.UpstreamLeaving,
-			Service:  s.definition.Name,
-			Upstream: address,
-		})
-	}
-}
-
 // budgetsOf returns the budgets of a kind. The retry budget of a new kind is full.
 // The caller holds s.mu.
 func (s *service) budgetsOf(kind document.Kind) *budgets {
--- a/internal/gate/subrequest.go
+++ b/internal/gate/subrequest.go
@@ -197,7 +197,7 @@
 			return
 		}
 		r := item.Value
-		if refused := s.expiredReason(r, now); refused != "" {
+		if refused := s.hopelessReason(r, now); refused != "" {
 			s.queue.Remove(item)
 			r.slotGrant <- slotGrant{refused: refused}
 			continue
@@ -212,12 +212,15 @@
 	}
 }
 
-// expiredReason returns the code to refuse the sub-request with if its deadline has
-// passed, and none otherwise.
-func (s *service) expiredReason(r *subRequest, now time.Time) answer.Code {
+// hopelessReason returns the code to refuse the sub-request with if its deadline has
+// passed or no upstream wants it before that, and none otherwise. The caller holds s.mu.
+func (s *service) hopelessReason(r *subRequest, now time.Time) answer.Code {
 	if !now.Before(r.deadline) {
 		return answer.CodeDeadline
 	}
+	if s.unwanted(r) {
+		return answer.CodeNoUpstream
+	}
 	return ""
 }
 
@@ -227,12 +230,12 @@
 }
 
 // refuseUnservable refuses the sub-request at the head of the queue once no
-// upstream could have served it for noUpstreamTimeout, even with all slots free.
-// The caller holds s.mu.
+// upstream could have served it for noUpstreamTimeout, even with all slots free, and
+// none named a time after which it may in time. The caller holds s.mu.
 func (s *service) refuseUnservable(now time.Time) {
 	for {
 		item, ok := s.queue.Peek()
-		if !ok || s.servable(item.Value, now) {
+		if !ok || s.servable(item.Value, now) || s.servableLater(item.Value, now) {
 			return
 		}
 		r := item.Value
@@ -258,6 +261,17 @@
 	return false
 }
 
+// servableLater reports whether an upstream that has not had an attempt yet holds the
+// version of the sub-request and wants no requests now, but some before its deadline.
+func (s *service) servableLater(r *subRequest, now time.Time) bool {
+	for position := range s.upstreams.Len() {
+		if !r.excluded.Has(position) && s.upstreams.Returns(position, r.batch.GetVersion(), now, r.deadline) {
+			return true
+		}
+	}
+	return false
+}
+
 // unservableReason distinguishes a missing version from missing upstreams.
 func (s *service) unservableReason(r *subRequest, now time.Time) answer.Code {
 	for position := range s.upstreams.Len() {
@@ -278,9 +292,10 @@
 	r.running++
 	s.mu.Lock()
 	r.excluded = r.excluded.With(position)
+	incarnation := s.upstreams.Incarnation(position)
 	s.mu.Unlock()
 	s.gates.updateMetrics(func(m *Metrics) { m.Attempts++ })
-	a := &attempt{service: s, subRequest: r, position: position, number: r.attempts}
+	a := &attempt{service: s, subRequest: r, position: position, incarnation: incarnation, number: r.attempts}
 	go a.run(ctx)
 }
 
--- /dev/null
+++ b/internal/gate/told.go
@@ -0,0 +1,144 @@
+package gate
+
+import (
+	"time"
+
+	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/pkg/upstream"
+)
+
+// statement is what an upstream told of itself, or the platform of it. It is passed by
+// value.
+type statement struct {
+	address string
+	// incarnation is the process that it is about; empty if that is not known.
+	incarnation string
+	leaving     bool
+	// retryAfter is how long the upstream wants no requests; 0 if it named no time.
+	retryAfter time.Duration
+	source     timeline.Source
+	// requestID and outcome are those of a reply.
+	requestID string
+	outcome   upstream.Outcome
+	// sentAt is when the request or poll was sent; zero for a notice.
+	sentAt time.Time
+}
+
+// statement returns what the reply tells of its upstream. Of a delay only a reply tells
+// that refuses the request as overload.
+func (a *attempt) statement(reply *upstream.Reply) statement {
+	st := statement{
+		address:     a.address(),
+		incarnation: a.incarnation,
+		leaving:     reply.Outcome == upstream.Leaving,
+		source:      timeline.Reply,
+		requestID:   a.subRequest.batch.GetRequestId(),
+		outcome:     reply.Outcome,
+		sentAt:      a.startedAt,
+	}
+	if reply.Load == nil {
+		return st
+	}
+	st.leaving = st.leaving || reply.Load.Leaving
+	if reply.Outcome == upstream.Shed {
+		st.retryAfter = time.Duration(reply.Load.RetryAfter)
+	}
+	return st
+}
+
+// recordStatement takes over what the reply tells of its upstream. A new document may
+// have replaced the service since the attempt started.
+func (a *attempt) recordStatement(reply *upstream.Reply) {
+	st := a.statement(reply)
+	a.service.recordStatement(st)
+	if current := a.service.gates.lookup(a.service.definition.Name); current != nil && current != a.service {
+		current.recordStatement(st)
+	}
+}
+
+// recordStatement takes over what an upstream told. Statements about former processes at
+// its address change nothing.
+func (s *service) recordStatement(st statement) {
+	if !st.leaving && st.retryAfter == 0 {
+		return
+	}
+	now := time.Now()
+	s.mu.Lock()
+	position := s.upstreams.Position(st.address)
+	if position < 0 {
+		s.mu.Unlock()
+		return
+	}
+	leaves := st.leaving && s.upstreams.MarkLeaving(position, st.incarnation)
+	backsOff := st.retryAfter > 0 && s.upstreams.BackOff(position, st.incarnation, now, now.Add(st.retryAfter), s.random)
+	told := timeline.Told{Source: st.source, Outcome: string(st.outcome), Usable: s.upstreams.CountUsable(now)}
+	unused := s.upstreams.BacksOffUntil(position).Sub(now)
+	s.mu.Unlock()
+	if !st.sentAt.IsZero() {
+		told.AgeMillis = now.Sub(st.sentAt).Milliseconds()
+	}
+	if leaves {
+		s.recordTold(timeline.UpstreamLeaving, st, told)
+	}
+	if backsOff {
+		told.RetryAfterMillis, told.UnusedMillis = st.retryAfter.Milliseconds(), unused.Milliseconds()
+		s.recordTold(timeline.UpstreamBacksOff, st, told)
+	}
+}
+
+func (s *service) recordTold(name timeline.Name, st statement, told timeline.Told) {
+	s.gates.config.Recorder.Record(timeline.Event{
+		Name:      name,
+		RequestID: st.requestID,
+		Service:   s.definition.Name,
+		Upstream:  st.address,
+		Told:      &told,
+	})
+}
+
+// takeOver takes over from the service that this one replaces what the upstreams told.
+func (s *service) takeOver(previous *service) {
+	previous.mu.Lock()
+	defer previous.mu.Unlock()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.upstreams.TakeOver(previous.upstreams)
+}
+
+// unwanted reports whether no upstream that has not had an attempt yet wants the
+// sub-request before its deadline. The caller holds s.mu.
+func (s *service) unwanted(r *subRequest) bool {
+	for position := range s.upstreams.Len() {
+		if !r.excluded.Has(position) && !s.upstreams.Unwanted(position, r.deadline) {
+			return false
+		}
+	}
+	return true
+}
+
+// CountUnused returns how many upstreams of the services that the node is the gate of are
+// leaving, and how many others back off.
+func (g *Gates) CountUnused(now time.Time) (leaving, backingOff int) {
+	for _, s := range g.allServices() {
+		l, b := s.countUnused(now)
+		leaving, backingOff = leaving+l, backingOff+b
+	}
+	return leaving, backingOff
+}
+
+func (s *service) countUnused(now time.Time) (leaving, backingOff int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.role == inactive {
+		return 0, 0
+	}
+	return s.upstreams.CountUnused(now)
+}
+
+// MarkUpstreamLeaving marks an upstream as leaving in every service that lists it. An
+// empty incarnation stands for the current one.
+func (g *Gates) MarkUpstreamLeaving(upstream, incarnation string) {
+	for _, s := range g.allServices() {
+		s.recordStatement(statement{address: upstream, incarnation: incarnation, leaving: true, source: timeline.Notice})
+	}
+}
--- a/internal/load/disturbance_test.go
+++ b/internal/load/disturbance_test.go
@@ -36,11 +36,11 @@
 nodes = 2
 zones = 1
 warmup = "200ms"
-duration = "2s"
-serviceTime = "5ms"
+duration = "3s"
+serviceTime = "20ms"
 [[stream]]
 kind = "order"
-load = "20%"
+load = "30%"
 `
 
 // readTestPlan reads a plan for a pool of the given number of upstreams.
@@ -85,7 +85,7 @@
 		}
 	}
 	plan, err := readTestPlan(t, 3, "[[disturbance]]\nshare = \"30%\"\neffect = \"shed\"\nretryAfter = \"1500ms\"\nat = \"1s\"\n")
-	if err != nil || plan.Disturbances[0] != (Disturbance{Share: 0.3, Effect: Shed, RetryAfter: 1500 * time.Millisecond, At: time.Second, To: 2 * time.Second}) {
+	if err != nil || plan.Disturbances[0] != (Disturbance{Share: 0.3, Effect: Shed, RetryAfter: 1500 * time.Millisecond, At: time.Second, To: 3 * time.Second}) {
 		t.Errorf("%+v %v", plan.Disturbances, err)
 	}
 }
--- /dev/null
+++ b/internal/load/played_test.go
@@ -0,0 +1,40 @@
+package load
+
+import (
+	"context"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"github.com/bronzereach/bronzereach/internal/gate"
+)
+
+// TestPlayedUpstreamsGetNothing plays a share that leaves and one that sheds: the gates
+// send them nothing that they said they don't want, and the others serve on.
+func TestPlayedUpstreamsGetNothing(t *testing.T) {
+	for name, text := range map[string]string{
+		"leaving":        "share = \"34%\"\neffect = \"tellLeaving\"",
+		"listed leaving": "share = \"34%\"\neffect = \"tellLeaving\"\nlisted = true",
+		"shedding":       "share = \"34%\"\neffect = \"shed\"\nretryAfter = \"10s\"",
+		"liar":           "share = \"34%\"\neffect = \"shed\"\nretryAfter = \"1h\"\nto = \"200ms\"",
+	} {
+		t.Run(name, func(t *testing.T) {
+			plan, err := readTestPlan(t, 3, "[[disturbance]]\n"+text+"\n")
+			if err != nil {
+				t.Fatal(err)
+			}
+			report, err := Run(context.Background(), Config{Plan: plan, Seed: 1, Mode: gate.Gated, Log: logr.Discard()})
+			if err != nil {
+				t.Fatal(err)
+			}
+			row := report.Rows()[0]
+			t.Logf("%d unwanted, %d of %d answered", report.Unwanted, row.Answered, row.Offered)
+			if report.Unwanted > 0 {
+				t.Errorf("%d requests reached upstreams that had said that they wanted none", report.Unwanted)
+			}
+			if row.Offered == 0 || row.Answered < row.Offered*9/10 {
+				t.Errorf("%d of %d requests were answered", row.Answered, row.Offered)
+			}
+		})
+	}
+}
--- a/internal/proof/failover_test.go
+++ b/internal/proof/failover_test.go
@@ -169,13 +169,14 @@
 const leaveLimit = 3 * time.Second
 
 // TestLeavingUpstream checks that an upstream that is leaving gets no new requests
-// after leaveLimit, for three kinds of notice: the upstream refuses requests, it
-// reports in its state that it is leaving although healthy, or the platform lists
-// it as leaving.
+// after leaveLimit, for four kinds of notice: the upstream refuses requests, it
+// reports in its state that it is leaving although healthy, it tells so only in its
+// replies, or the platform lists it as leaving.
 func TestLeavingUpstream(t *testing.T) {
 	for name, giveNotice := range map[string]func(c *cluster, u *standin.Upstream){
 		"refuses": func(_ *cluster, u *standin.Upstream) { u.Leave() },
 		"state":   func(_ *cluster, u *standin.Upstream) { u.AnnounceLeaving() },
+		"replies": func(_ *cluster, u *standin.Upstream) { u.TellLeaving() },
 		"listed": func(c *cluster, u *standin.Upstream) {
 			vms := []platform.VM{{Name: "upstream", Address: u.Address(), Leaving: true}}
 			for _, p := range c.nodes {
--- a/pkg/replica/backoff.go
+++ b/pkg/replica/backoff.go
@@ -46,19 +46,35 @@
 	return 1 + (usual-1)*max(progress, 0)
 }
 
-// BackOff records that a replica wants no requests until the given time. A backoff is
-// never shortened. BackOff reports whether the replica was not backing off before, or
-// for a much shorter time.
-func (g *Group[C]) BackOff(replica *Replica[C], now, until time.Time, random *rand.Rand) (news bool) {
-	replica = g.current(replica)
-	state := &replica.state
-	if !until.After(now) || !until.After(state.backoff.until) {
+// backOff records that the upstream wants no requests until the given time. A backoff is
+// never shortened. backOff reports whether the upstream was not backing off before, or for
+// a much shorter time.
+func (u *state) backOff(now, until time.Time, random *rand.Rand) (news bool) {
+	if !until.After(now) || !until.After(u.backoff.until) {
 		return false
 	}
-	news = !state.backoff.active(now) || until.Sub(state.backoff.until) > maxBackoffSpread
+	news = !u.backoff.active(now) || until.Sub(u.backoff.until) > maxBackoffSpread
 	spread := min(backoffSpread*until.Sub(now).Seconds(), maxBackoffSpread.Seconds())
 	until = until.Add(time.Duration(random.Float64() * spread * float64(time.Second)))
-	state.backoff = state.backoff.WithEnd(now, until)
+	u.backoff = u.backoff.WithEnd(now, until)
+	return news
+}
+
+// countUnused adds the upstream to one of the numbers if it gets nothing because it is
+// leaving or backing off.
+func (u *state) countUnused(now time.Time, leaving, backingOff *int) {
+	switch {
+	case u.leaving:
+		*leaving++
+	case u.backoff.active(now):
+		*backingOff++
+	}
+}
+
+// BackOff records that a replica wants no requests until the given time, as state.backOff.
+func (g *Group[C]) BackOff(replica *Replica[C], now, until time.Time, random *rand.Rand) (news bool) {
+	replica = g.current(replica)
+	news = replica.state.backOff(now, until, random)
 	if !slices.Contains(g.replicas, replica) {
 		g.rememberBackoffs(now, []*Replica[C]{replica})
 	}
@@ -94,12 +110,7 @@
 // CountUnused returns how many replicas are leaving, and how many others back off.
 func (g *Group[C]) CountUnused(now time.Time) (leaving, backingOff int) {
 	for _, replica := range g.replicas {
-		switch {
-		case replica.state.leaving:
-			leaving++
-		case replica.state.backoff.active(now):
-			backingOff++
-		}
+		replica.state.countUnused(now, &leaving, &backingOff)
 	}
 	return leaving, backingOff
 }
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -168,7 +168,7 @@
 			i -= len(s.states)
 		}
 		state := &s.states[i]
-		if excluded.Has(i) || !state.hasFreeSlot() || !state.usable(now) || !state.hasVersion(version) {
+		if excluded.Has(i) || !state.hasFreeSlot(now) || !state.usable(now) || !state.hasVersion(version) {
 			continue
 		}
 		if state.slow && now.Sub(state.lastUsed) < probeInterval {
@@ -206,8 +206,10 @@
 	return u.downUntil
 }
 
-func (u *state) hasFreeSlot() bool {
-	return u.inFlight+u.reserved < int(u.limit)
+// hasFreeSlot reports whether one more attempt may be in progress. The limit grows slowly
+// after a backoff.
+func (u *state) hasFreeSlot(now time.Time) bool {
+	return u.inFlight+u.reserved < int(u.backoff.limit(u.limit, now))
 }
 
 func (u *state) hasVersion(version uint64) bool {
@@ -294,38 +296,6 @@
 	s.states[position].reserved = count
 }
 
-// MarkLeaving records that an incarnation of the upstream is leaving. The
-// upstream gets no new attempts until another incarnation is seen. It reports
-// whether the upstream was not yet marked.
-func (s *Set) MarkLeaving(position int, incarnation string) bool {
-	state := &s.states[position]
-	if incarnation != "" && state.incarnation != "" && incarnation != state.incarnation {
-		return false
-	}
-	changed := !state.leaving
-	state.leaving = true
-	return changed
-}
-
-// UpdateState records the incarnation and the index versions that the upstream
-// reports. For a new incarnation the concurrency limit starts again at 1, and the
-// latency, the failures and the leaving mark are cleared.
-func (s *Set) UpdateState(position int, incarnation string, versions []uint64) {
-	state := &s.states[position]
-	if state.incarnation != incarnation {
-		if state.incarnation != "" {
-			state.leaving = false
-			state.limit = 1
-			state.latency = 0
-		}
-		state.incarnation = incarnation
-		state.failures = 0
-		state.downUntil = time.Time{}
-	}
-	state.versions = slices.Clone(versions)
-	slices.Sort(state.versions)
-}
-
 // RemoveVersion records that the upstream does not have the version, contrary to
 // its last report.
 func (s *Set) RemoveVersion(position int, version uint64) {
@@ -362,7 +332,7 @@
 	for i := range s.states {
 		state := &s.states[i]
 		if state.usable(now) && state.slotTime > 0 {
-			rate += float64(int(state.limit)) / state.slotTime
+			rate += float64(int(state.backoff.limit(state.limit, now))) / state.slotTime
 		}
 	}
 	return rate
