--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -86,6 +86,16 @@
 	} {
 		n.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: counter.name, Help: counter.help}, counter.value))
 	}
+	for cause, count := range map[string]func() int{
+		"leaving":    func() int { leaving, _ := n.gates.CountUnused(time.Now()); return leaving },
+		"backingOff": func() int { _, backingOff := n.gates.CountUnused(time.Now()); return backingOff },
+	} {
+		n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name:        "bronzereach_unused_upstreams",
+			Help:        "Upstreams of the services that this node is the gate of that get no attempts, by cause.",
+			ConstLabels: prometheus.Labels{"cause": cause},
+		}, func() float64 { return float64(count()) }))
+	}
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "bronzereach_config_version",
 		Help: "Version of the configuration applied on this node.",
