A pause at the start no longer counts as the upstreams' usual time

Cause, from the timelines of two failing runs: the first reply of most upstreams met a pause of the machine and took 180 to 350 ms, the others 10 to 40 ms. The first duration was the whole mean of an upstream, and each later one changed it by 1%. So a service whose three upstreams could do some hundred requests a second was taken to do 15, and 32 after 1.3 s of refusing; 312 of 392 requests were refused. The mean is used only to admit requests.

Change: the mean weighs all durations equally until there are 100 of them. checkAnswers of the proofs logs the status and error of an incomplete answer.

--- a/internal/proof/load_test.go
+++ b/internal/proof/load_test.go
@@ -50,7 +50,7 @@
 		checkAnswer(t, a)
 		if !a.Coverage.Complete {
 			incomplete++
-			t.Logf("incomplete after %d µs and %d restarts: %+v", a.Times.TookMicros, a.Times.Restarts, a.Coverage.Omitted)
+			t.Logf("incomplete after %d µs and %d restarts, status %s, error %+v: %+v", a.Times.TookMicros, a.Times.Restarts, a.Status, a.Error, a.Coverage.Omitted)
 		}
 	}
 	return incomplete
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -25,7 +25,8 @@
 	// abandonedFactor multiplies the duration of an abandoned attempt to estimate
 	// the unknown time that it would have taken.
 	abandonedFactor = 2
-	// slotTimeWeight is the weight of the newest duration in the mean slot time.
+	// slotTimeWeight is the least weight of the newest duration in the mean slot time. All
+	// durations have the same weight until there are enough for it.
 	slotTimeWeight = 0.01
 	// latencyDecayTime is the time in which the excess latency of an unused
 	// upstream over the median decays to 1/e.
@@ -86,6 +87,8 @@
 	// slotTime is the mean time that a request occupies a slot, in seconds. Unlike
 	// latency it is not clipped, so it includes the long tail.
 	slotTime float64
+	// samples is the number of durations in slotTime.
+	samples float64
 	// expected is latency after the decay of its excess over the median, as of
 	// the last tick or reply. slow is true if it exceeds slowFactor medians.
 	expected float64
@@ -256,13 +259,14 @@
 func (u *state) recordLatency(took time.Duration, usual float64) {
 	seconds := took.Seconds()
 	if u.latency == 0 && usual > 0 {
-		u.latency, u.slotTime = usual, usual
+		u.latency, u.slotTime, u.samples = usual, usual, 1
 	}
 	if u.latency == 0 {
-		u.latency, u.slotTime = seconds, seconds
+		u.latency, u.slotTime, u.samples = seconds, seconds, 1
 		return
 	}
-	u.slotTime += slotTimeWeight * (seconds - u.slotTime)
+	u.samples++
+	u.slotTime += max(slotTimeWeight, 1/u.samples) * (seconds - u.slotTime)
 	u.latency += latencyWeight * (min(seconds, latencyClip*u.latency) - u.latency)
 }
 
