Proposal: a report that was only stamped anew is not evaluated again

Since reports are stamped anew for each entry that asks, all other entries take each of them for news: every reply brings the report again, and marks the target to be evaluated. While one shard has no upstream, every entry asks each gate up to 40 times a second.

Change: the target is evaluated again only if a report says something else. The reports still travel with the replies.

Test: TestUnchangedReportIsNotEvaluatedAgain fails before, passes after; internal/entry passes with -race.

--- a/internal/entry/reports.go
+++ b/internal/entry/reports.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/admission"
@@ -97,15 +99,23 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if known, found := r.byService[report.GetService()]; found && !replaces(known, report) {
+	known, found := r.byService[report.GetService()]
+	if found && !replaces(known, report) {
 		return
 	}
 	r.byService[report.GetService()] = report
-	if t, found := r.targetByService[report.GetService()]; found {
+	if t, listed := r.targetByService[report.GetService()]; listed && !(found && saysTheSame(known, report)) {
 		t.dirty = true
 	}
 }
 
+// saysTheSame reports whether two reports of a service differ only in who made them and
+// when. Gates stamp unchanged reports anew.
+func saysTheSame(known, report *wire.Report) bool {
+	return slices.Equal(known.GetAdmitted(), report.GetAdmitted()) &&
+		slices.EqualFunc(known.GetVersions(), report.GetVersions(), func(a, b *wire.Version) bool { return proto.Equal(a, b) })
+}
+
 // replaces reports whether a report that has just arrived replaces the known one. Only
 // reports of one process are in order. A gate sends its report with each reply until the
 // entry has it, so one of another process that came late is soon replaced in its turn.
--- a/internal/entry/reports_test.go
+++ b/internal/entry/reports_test.go
@@ -64,3 +64,32 @@
 		}
 	}
 }
+
+// TestUnchangedReportIsNotEvaluatedAgain: a report that a gate had only stamped anew made
+// the snapshot be chosen again.
+func TestUnchangedReportIsNotEvaluatedAgain(t *testing.T) {
+	reports := newReportTable()
+	reports.setDocument(parseOrders(t, time.Second))
+	report := func(sequence, version uint64) *wire.Report {
+		return &wire.Report{Service: "orders", Process: 7, Sequence: sequence, Admitted: []float32{1}, Versions: []*wire.Version{{Number: version, Replicas: 2}}}
+	}
+	for _, step := range []struct {
+		report *wire.Report
+		want   bool
+	}{
+		{report(1, 1), true},
+		{report(2, 1), false},
+		{report(3, 2), true},
+		{&wire.Report{Service: "orders", Process: 8, Sequence: 1}, true},
+	} {
+		reports.add(step.report)
+		target := reports.targets["orders"]
+		if target.dirty != step.want {
+			t.Errorf("report %d of process %d: to be evaluated %v, want %v", step.report.GetSequence(), step.report.GetProcess(), target.dirty, step.want)
+		}
+		if known := reports.sequence("orders"); known != step.report.GetSequence() {
+			t.Errorf("the entry holds report %d, want %d", known, step.report.GetSequence())
+		}
+		target.dirty = false
+	}
+}
