Proposal: an unreachable peer's error keeps its cause

Cause: Call wrapped only the text of the cause in ErrUnreachable, since the first path. So node/gossip.go never saw ECONNREFUSED: a member whose process had ended was taken for one that is cut off or slow.

Change: the error is both. What the member table does with refused members is unchanged.

--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -7,6 +7,7 @@
 	"bufio"
 	"context"
 	"crypto/tls"
+	"fmt"
 	"io"
 	"net"
 	"sync"
@@ -29,6 +30,11 @@
 // ErrUnreachable means that no byte of the call can have reached the peer.
 var ErrUnreachable = errors.New("peer unreachable")
 
+// unreachable returns an error that is both ErrUnreachable and its cause.
+func unreachable(cause error) error {
+	return errors.WithStack(fmt.Errorf("%w: %w", ErrUnreachable, cause))
+}
+
 // Handler serves the calls of other members.
 type Handler interface {
 	// Handle answers one call by sending its replies. ctx ends when the calling
@@ -224,7 +230,7 @@
 	n.Traffic.calls.Add(1)
 	l, err := n.linkTo(ctx, vm, address)
 	if err != nil {
-		return nil, errors.WithMessage(ErrUnreachable, err.Error())
+		return nil, unreachable(err)
 	}
 	stream, err = l.openStream(ctx, call, n.config.Clock)
 	if err == nil || ctx.Err() != nil {
@@ -243,7 +249,7 @@
 	defer cancel()
 	l, err := n.linkTo(dialCtx, vm, address)
 	if err != nil {
-		return errors.WithMessage(ErrUnreachable, err.Error())
+		return unreachable(err)
 	}
 	if l.answersPing() {
 		return nil
