The wait for replies that have arrived keeps to a short grace period

Now the relay is told by when the answers must be written, and waits for a quarter of that time at most.

--- a/internal/entry/leaving.go
+++ b/internal/entry/leaving.go
@@ -62,7 +62,7 @@
 }
 
 // AnswerNow answers all requests in progress with what is known of them.
-func (e *Entry) AnswerNow() {
+func (e *Entry) AnswerNow(time.Time) {
 	e.CloseAdmission()
 	e.shutdown.end()
 }
--- a/internal/entry/leaving_test.go
+++ b/internal/entry/leaving_test.go
@@ -46,7 +46,7 @@
 	e, served := newLeavingEntry(t)
 	go func() {
 		<-served
-		e.AnswerNow()
+		e.AnswerNow(time.Now())
 	}()
 	a := e.Answer(context.Background(), query.Request{Kind: "order", Key: e.issuer.Issue(time.Now(), 1)[0]})
 	if status := httpStatus(a); status == http.StatusServiceUnavailable {
@@ -59,7 +59,7 @@
 func TestLeavingEntryTakesOnlyWhatItCanAnswer(t *testing.T) {
 	e, _ := newLeavingEntry(t)
 	e.Leave(time.Now().Add(200 * time.Millisecond))
-	time.AfterFunc(200*time.Millisecond, e.AnswerNow)
+	time.AfterFunc(200*time.Millisecond, func() { e.AnswerNow(time.Now()) })
 	a := e.Answer(context.Background(), query.Request{Kind: "order", Key: e.issuer.Issue(time.Now(), 1)[0]})
 	if a.Status != answer.NotRun {
 		t.Errorf("a request with a deadline of 20 s, received 200 ms before the end, has status %v, error %+v", a.Status, a.Error)
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -30,8 +30,9 @@
 	Leave(answerBy time.Time)
 	// CloseAdmission makes all further requests be refused.
 	CloseAdmission()
-	// AnswerNow makes all requests in progress be answered with what is known of them.
-	AnswerNow()
+	// AnswerNow makes all requests in progress be answered with what is known of them. The
+	// answers must be written by the given time.
+	AnswerNow(writeBy time.Time)
 	// InProgress returns the number of requests that are not answered yet.
 	InProgress() int64
 }
@@ -97,7 +98,7 @@
 		now := time.Now()
 		if !answerBy.IsZero() && !now.Before(answerBy) {
 			n.logDrain("nodeOverdue", left)
-			n.front().AnswerNow()
+			n.front().AnswerNow(time.Now().Add(n.shutdownTime()))
 			return nil
 		}
 		if !now.Before(nextLog) {
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -36,7 +36,7 @@
 func (a *plainAdapter) Collectors() []prometheus.Collector           { return nil }
 func (a *plainAdapter) Leave(time.Time)                              {}
 func (a *plainAdapter) CloseAdmission()                              {}
-func (a *plainAdapter) AnswerNow()                                   { close(a.answerNow) }
+func (a *plainAdapter) AnswerNow(time.Time)                          { close(a.answerNow) }
 func (a *plainAdapter) InProgress() int64                            { return a.inProgress.Load() }
 func (a *plainAdapter) CallerTimeouts() (header, idle time.Duration) { return 0, 0 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -372,7 +372,7 @@
 // them.
 func (n *Node) Stop() {
 	n.aborted.Store(n.inProgress())
-	n.front().AnswerNow()
+	n.front().AnswerNow(time.Now().Add(n.shutdownTime()))
 	n.cancel()
 }
 
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -405,17 +405,18 @@
 	return answer
 }
 
-// handleLastArrived handles what has come already, or comes within arrivedReplyTime while
+// handleLastArrived handles what has come already, or comes within lastReplyTime while
 // attempts run, without starting anything new: replies may have arrived that nobody has
 // read yet.
 func (f *forwarder) handleLastArrived(ctx context.Context) {
-	timer := time.NewTimer(arrivedReplyTime)
+	timer := time.NewTimer(f.relay.lastReplyTime)
 	defer timer.Stop()
 	for f.hasRunningAttempts() {
 		select {
 		case e := <-f.events:
 			f.handleLast(e)
 		case <-timer.C:
+			f.handleQueued()
 			return
 		case <-ctx.Done():
 			return
@@ -423,6 +424,18 @@
 	}
 }
 
+// handleQueued handles the events that have come already, without starting anything new.
+func (f *forwarder) handleQueued() {
+	for {
+		select {
+		case e := <-f.events:
+			f.handleLast(e)
+		default:
+			return
+		}
+	}
+}
+
 func (f *forwarder) hasRunningAttempts() bool {
 	return slices.ContainsFunc(f.shards, func(s shardState) bool { return len(s.running) > 0 })
 }
--- a/internal/relay/leaving.go
+++ b/internal/relay/leaving.go
@@ -89,7 +89,11 @@
 }
 
 // AnswerNow makes the relay answer all requests in progress with what it knows of them.
-func (r *Relay) AnswerNow() {
+// The answers must be written by the given time.
+func (r *Relay) AnswerNow(writeBy time.Time) {
 	r.CloseAdmission()
-	r.answerNowOnce.Do(func() { close(r.answerNow) })
+	r.answerNowOnce.Do(func() {
+		r.lastReplyTime = min(arrivedReplyTime, time.Until(writeBy)/4)
+		close(r.answerNow)
+	})
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -96,8 +96,10 @@
 	// guards, keeps it up while their attempts still count.
 	budgetNodes atomic.Int64
 	nodeCount   *budget.NodeCount
-	// answerNow is closed when all requests in progress must be answered.
+	// answerNow is closed when all requests in progress must be answered. Replies that
+	// have arrived may be read for lastReplyTime then, which is set before.
 	answerNow     chan struct{}
+	lastReplyTime time.Duration
 	answerNowOnce sync.Once
 
 	splitCount       atomic.Uint64
