Proposal: a forwarded request without time is refused, not run

Cause: a forward whose time is over, or below the 2 ms that a gate's reply needs, was started with a deadline of 1 ms. It comes to that if the forwarding node waits for a dial: the time that is left is computed before.

Change: the node that issued the ticket refuses it, not run, if no run of it has begun.

Test: TestForwardWithoutTimeIsNotRun, before: unknown with 0 and -1 s left; after: it passes. internal/entry passes with -race, and the tests of internal/node named after forwards, orders and tickets.

--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -55,6 +55,12 @@
 	return k.entry.shutdown.refuses(timeLimit(k.request, k.kind))
 }
 
+// hasNoTime reports whether a gate would get no time for the request. A run would end at
+// once, and its outcome be unknown for good.
+func (k *keyedRequest) hasNoTime() bool {
+	return timeLimit(k.request, k.kind) <= replyMargin
+}
+
 // unknownAnswer returns the answer to a request that may or may not have run.
 func (k *keyedRequest) unknownAnswer(code answer.Code, message string, retry bool) *answer.Answer {
 	k.entry.record(timeline.RequestAnswered, k.id, string(code))
@@ -91,6 +97,9 @@
 	if !started && k.refusedByShutdown() {
 		return k.refuse(leavingRefusal)
 	}
+	if !started && k.hasNoTime() {
+		return k.refuse(refusal{code: answer.CodeDeadline, message: "no time was left to run the request", retry: true})
+	}
 	if !started && age > claim.TicketLifetime {
 		if age < claim.Retention {
 			return k.refuse(refusal{code: answer.CodeTicketUnknown, message: "the ticket expired before it was used"})
