Proposal (fails): what a node was told of a leaving upstream, by address

A notice of the platform's list names an address and no incarnation.

TestNoticeBeforeTheConfigurationThatNamesTheUpstream and TestLeavingMarkOutlivesAConfigurationWithoutTheUpstream: the mark is lost if no service of the configuration at that time lists the upstream.

--- /dev/null
+++ b/internal/gate/leaving_test.go
@@ -0,0 +1,48 @@
+package gate
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/go-logr/logr"
+
+	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/pkg/document"
+)
+
+// applyUpstreams applies a configuration whose pool has the two upstreams.
+func applyUpstreams(t *testing.T, g *Gates, first, second string) {
+	t.Helper()
+	parsed, err := document.Parse(fmt.Appendf(nil, testDocument, testSlots, testConnections, first, second))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Apply(parsed)
+}
+
+// TestNoticeBeforeTheConfigurationThatNamesTheUpstream: a notice that came before the
+// configuration that adds its upstream was forgotten, if there was another one before.
+func TestNoticeBeforeTheConfigurationThatNamesTheUpstream(t *testing.T) {
+	first, second, added := silentAddress(t), silentAddress(t), silentAddress(t)
+	g := New(Config{VM: "vm-1", Recorder: timeline.NewRecorder("vm-1", logr.Discard()), Mode: Gated, Seed: 1})
+	applyUpstreams(t, g, first, second)
+	g.MarkUpstreamLeaving(added, "")
+	applyUpstreams(t, g, first, added)
+	if _, leaving := g.lookup("orders").upstreams.Leaving()[added]; !leaving {
+		t.Error("the upstream of which the node was told before its configuration named it is in use")
+	}
+}
+
+// TestLeavingMarkOutlivesAConfigurationWithoutTheUpstream: an upstream that a configuration
+// leaves out and the next one names again was in use although it leaves.
+func TestLeavingMarkOutlivesAConfigurationWithoutTheUpstream(t *testing.T) {
+	first, second, leaving := silentAddress(t), silentAddress(t), silentAddress(t)
+	g := New(Config{VM: "vm-1", Recorder: timeline.NewRecorder("vm-1", logr.Discard()), Mode: Gated, Seed: 1})
+	applyUpstreams(t, g, first, leaving)
+	g.MarkUpstreamLeaving(leaving, "")
+	applyUpstreams(t, g, first, second)
+	applyUpstreams(t, g, first, leaving)
+	if _, known := g.lookup("orders").upstreams.Leaving()[leaving]; !known {
+		t.Error("the upstream is in use")
+	}
+}
