Proposal: a link on which something arrives is not silent

Cause: a link was closed, with all its calls, if a ping wasn't answered in 400 ms, though the answer may wait behind a long reply that is arriving, which also makes an exchange slow. Liveness checks ping only a link on which nothing arrives; Retire and Confirm ping any.

Change: it is closed only if nothing has arrived for 400 ms. Confirm retires it otherwise.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -197,14 +197,22 @@
 	return l.session.NumStreams() == 0 && l.conn.idle(now) >= retiredIdleTimeout
 }
 
-// loop sends one ping and closes the link if it fails or is not answered in time.
+// loop sends one ping and closes the link if it fails or is not answered in time, unless
+// something else has arrived meanwhile: the answer may wait behind a long reply, or not
+// have been read yet.
 func (l *link) loop() {
 	defer l.pingPending.Store(false)
-	if !l.answersPing() {
+	if !l.answersPing() && l.isSilent() {
 		l.close()
 	}
 }
 
+// isSilent reports whether nothing has arrived on the link for livenessTimeout, or it is
+// closed.
+func (l *link) isSilent() bool {
+	return l.session.IsClosed() || l.conn.idle(time.Now()) >= livenessTimeout
+}
+
 // answersPing reports whether the peer answers a ping in time.
 func (l *link) answersPing() bool {
 	pinged := make(chan error, 1)
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -241,8 +241,8 @@
 }
 
 // Confirm checks that a member answers on the link that the next call to it uses. If it
-// does not, Confirm closes the link and returns ErrUnreachable. A dial may take
-// livenessTimeout, and goes on afterwards. Confirm is meant for calls that must not be
+// does not, Confirm closes the link, or retires it if something else has arrived on it, and
+// returns ErrUnreachable. A dial may take livenessTimeout, and goes on afterwards. Confirm is meant for calls that must not be
 // sent again: of one that is sent on a silent link nobody can tell whether it arrived.
 func (n *Network) Confirm(ctx context.Context, vm, address string) error {
 	dialCtx, cancel := context.WithTimeout(ctx, livenessTimeout)
@@ -254,7 +254,11 @@
 	if l.answersPing() {
 		return nil
 	}
-	n.removeLink(l)
+	if l.isSilent() {
+		n.removeLink(l)
+	} else {
+		n.retire(l)
+	}
 	return errors.WithMessage(ErrUnreachable, "the link is silent")
 }
 
@@ -273,13 +277,18 @@
 // The calls in progress go on, as the member may be slow rather than cut off; a ping
 // tells, and the link is closed if it is not answered.
 func (n *Network) Retire(vm string) {
+	if l := n.openLink(vm); l != nil {
+		n.retire(l)
+	}
+}
+
+// retire is Retire for one link.
+func (n *Network) retire(l *link) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	l, found := n.links[vm]
-	if !found {
-		return
+	if n.links[l.vm] == l {
+		delete(n.links, l.vm)
 	}
-	delete(n.links, vm)
 	l.retired = true
 	l.startPing()
 }
