--- a/internal/load/played_test.go
+++ b/internal/load/played_test.go
@@ -7,6 +7,7 @@
 	"github.com/go-logr/logr"
 
 	"github.com/bronzereach/bronzereach/internal/gate"
+	"github.com/bronzereach/bronzereach/pkg/answer"
 )
 
 // TestPlayedUpstreamsGetNothing plays a share that leaves and one that sheds: the gates
@@ -28,7 +29,11 @@
 				t.Fatal(err)
 			}
 			row := report.Rows()[0]
-			t.Logf("%d unwanted, %d of %d answered", report.Unwanted, row.Answered, row.Offered)
+			codes := map[answer.Code]int{}
+			for _, sample := range report.Samples {
+				codes[sample.Code]++
+			}
+			t.Logf("%d unwanted, %d of %d answered, by code: %v", report.Unwanted, row.Answered, row.Offered, codes)
 			if report.Unwanted > 0 {
 				t.Errorf("%d requests reached upstreams that had said that they wanted none", report.Unwanted)
 			}
