A relay that went on after a suspension keeps to a deadline that is still ahead

Found by review: the 50 ms for replies that have arrived could end after the request's deadline, so that it was answered late.

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -129,7 +129,11 @@
 	if time.Since(due) < suspensionGap {
 		return
 	}
-	timer := time.NewTimer(arrivedReplyTime)
+	wait := arrivedReplyTime
+	if left := time.Until(f.plan.answerDeadline); left > 0 {
+		wait = min(wait, left)
+	}
+	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for f.pendingShards > 0 {
 		select {
