--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -231,8 +231,9 @@
 
 // Confirm checks that a member answers on the link that the next call to it uses. If it
 // does not, Confirm closes the link, or retires it if something else has arrived on it, and
-// returns ErrUnreachable. A dial may take livenessTimeout, and goes on afterwards. Confirm is meant for calls that must not be
-// sent again: of one that is sent on a silent link nobody can tell whether it arrived.
+// returns ErrUnreachable. A dial may take livenessTimeout, and goes on afterwards. Confirm
+// is meant for calls that must not be sent again: of one that is sent on a silent link
+// nobody can tell whether it arrived.
 func (n *Network) Confirm(ctx context.Context, vm, address string) error {
 	dialCtx, cancel := context.WithTimeout(ctx, livenessTimeout)
 	defer cancel()
--- a/pkg/budget/budget.go
+++ b/pkg/budget/budget.go
@@ -5,7 +5,8 @@
 // A Window counts requests and extra attempts in a sliding window. A process that
 // starts does not know what the former one on its VM has spent, so it takes little from
 // its requests for a period, and its share of the slack grows with its age. A node that
-// dies keeps its share for a period, see NodeCount. The package reads no clock, and its types are not safe for concurrent use.
+// dies keeps its share for a period, see NodeCount. The package reads no clock, and its
+// types are not safe for concurrent use.
 package budget
 
 import "time"
