--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -69,6 +69,9 @@
 	// ReportStoreCall reports the outcome of a call to the platform's store; err
 	// is nil if it was answered.
 	ReportStoreCall(err error)
+	// ServeAuxiliary serves an address besides that for callers' requests until the context
+	// ends or the address can't be used.
+	ServeAuxiliary(ctx context.Context, address string, handler http.Handler) error
 	// MaxDescriptors returns how many file descriptors the process may have.
 	MaxDescriptors() int
 	// Memory returns the account of what the node holds for others; nil if it is not
