Heads that have stalled make room for new connections

Callers saw: while all connections that a node allows hold the beginning of a request, new ones are closed until a head's time is over (2 s, or the configuration's), and again with the next ones. Cause: only idle connections made room. Change: where none is idle, the one whose head has been arriving for longest makes room, if that has taken half a second. No such connection has a whole request.

--- a/internal/node/callerconns.go
+++ b/internal/node/callerconns.go
@@ -13,8 +13,13 @@
 	"github.com/bronzereach/bronzereach/internal/timer"
 )
 
-// connSweepInterval is the time between two checks for connections whose time is over.
-const connSweepInterval = 250 * time.Millisecond
+const (
+	// connSweepInterval is the time between two checks for connections whose time is over.
+	connSweepInterval = 250 * time.Millisecond
+	// stalledHeadTime is how long the head of a request may take before its connection
+	// makes room for a new one.
+	stalledHeadTime = 500 * time.Millisecond
+)
 
 // callerConnsConfig configures callerConns.
 type callerConnsConfig struct {
@@ -43,8 +48,9 @@
 )
 
 // callerConns bounds the connections of callers in number and in time. To make room for
-// a new one it gives up the one that has been idle for longest. A connection on which a
-// request has begun to arrive is not given up as idle.
+// a new one it gives up the one that has been idle for longest, or else the one whose head
+// has been arriving for longest, if that has stalled. A connection on which a request has
+// begun to arrive is not given up as idle.
 type callerConns struct {
 	config callerConnsConfig
 
@@ -82,7 +88,7 @@
 	conns *callerConns
 }
 
-// Accept returns the next connection. If too many are open and none is idle, it closes
+// Accept returns the next connection. If too many are open and none makes room, it closes
 // new ones unread.
 func (l callerListener) Accept() (net.Conn, error) {
 	for {
@@ -104,13 +110,9 @@
 	if cs.closing {
 		return nil
 	}
-	if cs.open >= cs.config.Maximum {
-		longest := cs.idle.Front()
-		if longest == nil {
-			cs.refused++
-			return nil
-		}
-		cs.giveUp(longest.Value.(*callerConn))
+	if cs.open >= cs.config.Maximum && !cs.makeRoom(now) {
+		cs.refused++
+		return nil
 	}
 	cs.open++
 	c := &callerConn{Conn: conn, owner: cs}
@@ -118,6 +120,19 @@
 	return c
 }
 
+// makeRoom gives up a connection for a new one; false if none may be given up.
+func (cs *callerConns) makeRoom(now time.Time) bool {
+	longest := cs.idle.Front()
+	if longest == nil {
+		longest = cs.reading.Front()
+		if longest == nil || now.Sub(longest.Value.(*callerConn).since) < stalledHeadTime {
+			return false
+		}
+	}
+	cs.giveUp(longest.Value.(*callerConn))
+	return true
+}
+
 // enter changes the state of a connection.
 func (cs *callerConns) enter(c *callerConn, state connState, now time.Time) {
 	if c.position != nil {
--- a/internal/node/callerconns_test.go
+++ b/internal/node/callerconns_test.go
@@ -161,6 +161,23 @@
 	}
 }
 
+// TestStalledHeadsMakeRoomForNewConnections guards against callers that begin a request on
+// each connection that a node allows and go on no further: others find room all the while.
+func TestStalledHeadsMakeRoomForNewConnections(t *testing.T) {
+	s := newConnServer(t, 3, time.Minute, time.Minute)
+	for range 3 {
+		if _, err := io.WriteString(s.dial(t), "GET / HTTP/1.1\r\nHost:"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	time.Sleep(stalledHeadTime + 100*time.Millisecond)
+	for range 3 {
+		if err := get(s.dial(t), "/"); err != nil {
+			t.Errorf("no room for a new connection: %v", err)
+		}
+	}
+}
+
 func TestNewConnectionIsRefusedWhileAllAreInUse(t *testing.T) {
 	s := newConnServer(t, 2, time.Second, time.Minute)
 	answered := make(chan error, 2)
