Requests to the query API take their memory from the account

Cause: the account of memory held the requests of the users' path only. Change: the entry takes a request, its body and its decoded form from the same account, refuses with noMemory (503, not run, a Retry-After) before the body is read, and a body that doesn't come gives way. The gate says noMemory too where it said overloaded. What both paths do alike (memory.Body, the caller's address, the times) stands once. memoryMegabytes may stand outside [foreign], so that the product's own platform has it as well.

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -44,8 +44,8 @@
 		}
 		defer stop()
 	}
-	if options.Foreign != nil && options.Foreign.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memory.HeapLimit(memory.Bytes(options.Foreign.MemoryBytes))))
+	if options.Memory > 0 {
+		debug.SetMemoryLimit(int64(memory.HeapLimit(options.Memory)))
 	}
 	logOutput := logqueue.New(streams.Out)
 	defer logOutput.Close(logCloseTimeout)
--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -20,6 +20,7 @@
 	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/answer"
 	"github.com/bronzereach/bronzereach/pkg/document"
+	"github.com/bronzereach/bronzereach/pkg/memory"
 	"github.com/bronzereach/bronzereach/pkg/query"
 	"github.com/bronzereach/bronzereach/pkg/snapshot"
 )
@@ -43,6 +44,8 @@
 	ReportFailure func(vm string)
 	// Direct is true in direct mode, see gate.Direct.
 	Direct bool
+	// Memory bounds what requests and replies take; nil for no bound.
+	Memory *memory.Account
 }
 
 // Entry handles the requests of callers.
@@ -315,7 +318,7 @@
 		return http.StatusConflict
 	case answer.CodeTicketUnknown, answer.CodeIssuerGone:
 		return http.StatusGone
-	case answer.CodeOverloaded, answer.CodeNotConfigured, answer.CodeStoreDown, answer.CodeNoSnapshot, answer.CodeLeaving:
+	case answer.CodeOverloaded, answer.CodeNotConfigured, answer.CodeStoreDown, answer.CodeNoSnapshot, answer.CodeLeaving, answer.CodeNoMemory:
 		return http.StatusServiceUnavailable
 	default:
 		return http.StatusGatewayTimeout
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -10,10 +10,10 @@
 	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
+	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/pkg/answer"
 	"github.com/bronzereach/bronzereach/pkg/member"
+	"github.com/bronzereach/bronzereach/pkg/memory"
 	"github.com/bronzereach/bronzereach/pkg/query"
 )
 
@@ -59,29 +59,41 @@
 }
 
 func (e *Entry) serveQuery(w http.ResponseWriter, r *http.Request) {
-	request, code, err := readRequest(w, r)
-	if err != nil {
-		view := e.config.View()
-		e.writeAnswer(w, e.refuse(view, request, "", time.Now(), refusal{code: code, message: err.Error()}))
+	lease := e.openRequestLease(util.CallerHost(r))
+	defer lease.Close()
+	request, refused := readRequest(lease, w, r)
+	if refused != nil {
+		// The rest of the body is not read.
+		w.Header().Set("Connection", "close")
+		e.writeAnswer(w, e.refuse(e.config.View(), request, "", time.Now(), *refused))
 		return
 	}
 	e.writeAnswer(w, e.Answer(r.Context(), request))
 }
 
-func readRequest(w http.ResponseWriter, r *http.Request) (request query.Request, code answer.Code, err error) {
-	decoder := json.NewDecoder(http.MaxBytesReader(w, r.Body, query.MaximumBodyBytes))
-	decoder.DisallowUnknownFields()
-	err = decoder.Decode(&request)
-	var tooLarge *http.MaxBytesError
+// readRequest reads a request into memory that is taken from the lease. It returns a refusal
+// if that is not possible.
+func readRequest(lease *memory.Lease, w http.ResponseWriter, r *http.Request) (request query.Request, refused *refusal) {
+	body, err := readRequestBody(lease, w, r)
+	switch {
+	case memory.IsDenied(err):
+		return request, &refusal{answer.CodeNoMemory, "the memory for requests is in use by others", true, memory.RetryAfter}
+	case err == nil && body.Len() > query.MaximumBodyBytes:
+		return request, &refusal{code: answer.CodeTooLarge, message: fmt.Sprintf("the request body is larger than %d bytes", query.MaximumBodyBytes)}
+	}
+	if err == nil {
+		decoder := json.NewDecoder(body.Reader())
+		decoder.DisallowUnknownFields()
+		err = decoder.Decode(&request)
+	}
 	switch {
-	case errors.As(err, &tooLarge):
-		return request, answer.CodeTooLarge, errors.Errorf("the request body is larger than %d bytes", query.MaximumBodyBytes)
 	case err != nil:
-		return request, answer.CodeInvalid, errors.Errorf("the request body is not valid: %v", err)
+		return request, &refusal{code: answer.CodeInvalid, message: fmt.Sprintf("the request body is not valid: %v", err)}
 	case request.DeadlineMillis < 0:
-		return request, answer.CodeInvalid, errors.New("deadlineMillis is negative")
+		return request, &refusal{code: answer.CodeInvalid, message: "deadlineMillis is negative"}
+	default:
+		return request, nil
 	}
-	return request, "", nil
 }
 
 // writeAnswer writes the HTTP response. It encodes the whole body first to send a
--- a/internal/gate/attempt.go
+++ b/internal/gate/attempt.go
@@ -121,7 +121,7 @@
 		}
 		if errors.Is(err, memory.ErrExhausted) {
 			// Others hold the memory: that tells nothing of this upstream.
-			result.reason = answer.CodeOverloaded
+			result.reason = answer.CodeNoMemory
 			return replica.Abandoned
 		}
 		return replica.Failed
--- a/internal/local/local.go
+++ b/internal/local/local.go
@@ -25,6 +25,7 @@
 	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/pkg/document"
 	"github.com/bronzereach/bronzereach/pkg/member"
+	"github.com/bronzereach/bronzereach/pkg/memory"
 )
 
 // Environment is the name of the environment of local nodes.
@@ -59,6 +60,8 @@
 	Nodes         int
 	// Zones is the number of availability zones that the nodes are distributed over.
 	Zones int
+	// Memory is the memory that each node may use; 0 for that of the machine.
+	Memory memory.Bytes
 	// Mode is the mode of the nodes; empty for the default.
 	Mode gate.Mode
 	// Seed determines the random choices of the fakes.
@@ -209,6 +212,7 @@
 		options.Platform = s.PlatformURL
 		options.Environment = Environment
 		options.DirectNodes = s.config.Nodes
+		options.Memory = s.config.Memory
 		if s.config.Mode != "" {
 			options.Mode = s.config.Mode
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,6 +210,7 @@
 		Serve:         n.serveBatch,
 		ReportFailure: n.control.reportFailedCall,
 		Direct:        n.options.Mode == gate.Direct,
+		Memory:        n.memory,
 	})
 	n.registry = prometheus.NewRegistry()
 	n.registerMetrics()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -50,6 +50,8 @@
 	// GracePeriod is how long after the signal to stop the process may be killed; 0
 	// if that is not known.
 	GracePeriod time.Duration
+	// Memory is the memory that the process may use; 0 if the settings name none.
+	Memory memory.Bytes
 	// Foreign holds the settings for a platform other than the product's own;
 	// nil on the product's own.
 	Foreign *ForeignOptions
@@ -71,8 +73,6 @@
 	AddressListTTL time.Duration
 	// Budget limits retries and hedges over all nodes.
 	Budget budget.Config
-	// MemoryBytes is the memory that the process may use.
-	MemoryBytes int64
 }
 
 // Production is the environment that accepts only documents that passed a trial.
@@ -136,7 +136,8 @@
 	}
 	options.DirectNodes = root.CountOr("directNodes", options.DirectNodes)
 	options.Cores = root.NumberOr("cores", options.Cores)
-	options.Foreign = readForeignOptions(root)
+	options.Memory = readMemory(root, 0)
+	options.Foreign = readForeignOptions(root, &options)
 	if options.Foreign != nil {
 		options.LeaveTime = addressListUses*options.Foreign.AddressListTTL + noticeTime
 		options.GracePeriod = defaultGracePeriod
@@ -149,8 +150,8 @@
 // memoryLimit returns how much memory the process may have: by the settings, or else by the
 // operating system; 0 if that is not known.
 func (o Options) memoryLimit() memory.Bytes {
-	if o.Foreign != nil && o.Foreign.MemoryBytes > 0 {
-		return memory.Bytes(o.Foreign.MemoryBytes)
+	if o.Memory > 0 {
+		return o.Memory
 	}
 	return memory.MachineLimit()
 }
@@ -179,8 +180,20 @@
 	maxMemoryMegabytes = 1 << 30
 )
 
+// readMemory reads the memory that the process may use. It may also stand in the table
+// "foreign".
+func readMemory(table *document.Table, fallback memory.Bytes) memory.Bytes {
+	const key = "memoryMegabytes"
+	megabytes := table.NumberOr(key, float64(fallback)/megabyte)
+	if megabytes > maxMemoryMegabytes {
+		table.Problemf(key, "%s must be %d or less", key, maxMemoryMegabytes)
+		return fallback
+	}
+	return memory.Bytes(megabytes * megabyte)
+}
+
 // readForeignOptions reads the table "foreign"; nil if there is none.
-func readForeignOptions(root *document.Table) *ForeignOptions {
+func readForeignOptions(root *document.Table, options *Options) *ForeignOptions {
 	table := root.Table("foreign")
 	if table == nil {
 		return nil
@@ -201,12 +214,7 @@
 	if foreign.Budget.Period < minBudgetPeriod {
 		table.Problemf("extraAttemptsPeriod", "extraAttemptsPeriod must be %s or more", minBudgetPeriod)
 	}
-	megabytes := table.NumberOr("memoryMegabytes", 0)
-	if megabytes > maxMemoryMegabytes {
-		table.Problemf("memoryMegabytes", "memoryMegabytes must be %d or less", maxMemoryMegabytes)
-		return foreign
-	}
-	foreign.MemoryBytes = int64(megabytes * megabyte)
+	options.Memory = readMemory(table, options.Memory)
 	return foreign
 }
 
--- a/internal/node/options_test.go
+++ b/internal/node/options_test.go
@@ -23,14 +23,14 @@
 		if err != nil {
 			return
 		}
-		if options.VM == "" || options.LeaveTime < 0 || !isAmount(options.Cores) {
+		if options.VM == "" || options.LeaveTime < 0 || options.Memory < 0 || !isAmount(options.Cores) {
 			t.Errorf("accepted: %+v", options)
 		}
 		foreign := options.Foreign
 		if foreign == nil {
 			return
 		}
-		if foreign.MemoryBytes < 0 || foreign.AddressListTTL <= 0 || foreign.Budget.Period < time.Millisecond || !isAmount(foreign.Budget.Ratio) || !isAmount(foreign.Budget.Slack) {
+		if foreign.AddressListTTL <= 0 || foreign.Budget.Period < time.Millisecond || !isAmount(foreign.Budget.Ratio) || !isAmount(foreign.Budget.Slack) {
 			t.Errorf("accepted: %+v", *foreign)
 		}
 	})
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -1,7 +1,6 @@
 package relay
 
 import (
-	"io"
 	"time"
 
 	"github.com/pkg/errors"
@@ -10,20 +9,13 @@
 )
 
 const (
-	// requestBytes is what a request takes while it is in progress, and attemptBytes what
-	// each of its services takes, with the first smallReplyBytes of a reply's body and
-	// the first smallHeadBytes of its head.
-	requestBytes    = 16 * memory.Kilobyte
+	// attemptBytes is what each service of a request takes, with the first smallReplyBytes
+	// of a reply's body and the first smallHeadBytes of its head.
 	attemptBytes    = 8 * memory.Kilobyte
 	smallReplyBytes = 4 * memory.Kilobyte
 	smallHeadBytes  = 2 << 10
 	// headFactor is what a head takes when it has been parsed, by its length.
 	headFactor = 4
-	// memoryRetryAfter is the retry delay told to callers that are refused because the
-	// memory is in use. Within it those who make no progress give way.
-	memoryRetryAfter = 1500 * time.Millisecond
-	// admissionTimeout is how long a request and its body wait for memory.
-	admissionTimeout = 250 * time.Millisecond
 )
 
 // Admit takes the memory that a request of the caller, an IP address, needs besides its body.
@@ -32,11 +24,11 @@
 	if r.config.Memory == nil {
 		return nil
 	}
-	needed, urgent := requestBytes+attemptBytes, false
+	needed, urgent := memory.RequestBytes+attemptBytes, false
 	request.table = r.Table()
 	request.Route = request.table.Match(request.Host, request.Path)
 	if matched := request.Route; matched != nil {
-		needed = requestBytes + attemptBytes*memory.Bytes(max(len(matched.Shards), 1))
+		needed = memory.RequestBytes + attemptBytes*memory.Bytes(max(len(matched.Shards), 1))
 		urgent = matched.Rank == 0
 	}
 	request.caller = caller
@@ -46,7 +38,7 @@
 		Groups: []memory.Group{{Name: caller, Share: memory.CallerShare}},
 		Urgent: urgent,
 	})
-	err := request.lease.Reserve(needed, request.Received.Add(admissionTimeout))
+	err := request.lease.Reserve(needed, request.Received.Add(memory.AdmissionTimeout))
 	request.scope.Add(request.lease)
 	if err != nil {
 		return r.refuseMemory(request, err)
@@ -54,35 +46,19 @@
 	return nil
 }
 
-// BodySource is the body of a request that a caller sends.
-type BodySource struct {
-	Reader io.Reader
-	// Announced is the length that the caller states; negative if it states none.
-	Announced int64
-	// End makes reads from Reader return at once. It may be called from any goroutine.
-	End func()
-}
-
 // ReadBody reads the body of an admitted request. It returns a refusal if there is no memory
 // for it, or an error if the body can't be read.
-func (r *Relay) ReadBody(request *Request, body BodySource) (refused *Answer, err error) {
-	request.lease.OnRevoke(body.End)
-	request.Body, err = memory.ReadAll(memory.Source{
-		Reader: body.Reader, Announced: body.Announced, Lease: request.lease, Deadline: time.Now().Add(admissionTimeout),
-	})
-	switch {
-	case !request.lease.OnRevoke(nil):
-		return r.refuseMemory(request, memory.ErrRevoked), nil
-	case memory.IsDenied(err):
+func (r *Relay) ReadBody(request *Request, body memory.Body) (refused *Answer, err error) {
+	request.Body, err = request.lease.ReadBody(body)
+	if memory.IsDenied(err) {
 		return r.refuseMemory(request, err), nil
-	default:
-		return nil, err
 	}
+	return nil, err
 }
 
 // refuseMemory refuses a request that has been sent to no upstream.
 func (r *Relay) refuseMemory(request *Request, cause error) *Answer {
-	answer := refusal(ReasonNoMemory, memoryRetryAfter)
+	answer := refusal(ReasonNoMemory, memory.RetryAfter)
 	r.recordAnswer(request, answer)
 	r.logMemory("requestDeniedMemory", request, request.lease, cause)
 	return answer
--- a/pkg/answer/answer.go
+++ b/pkg/answer/answer.go
@@ -52,7 +52,9 @@
 	CodeTruncated      Code = "replyTruncated"
 	CodeMismatch       Code = "replyMismatch"
 	CodeLeaving        Code = "leaving"
-	CodeInternal       Code = "internal"
+	// CodeNoMemory means that others held the memory for requests or replies.
+	CodeNoMemory Code = "noMemory"
+	CodeInternal Code = "internal"
 )
 
 // Answer is the JSON document that a caller receives for a request.
