The parts of an answer are counted until it is written to its caller

Cause: what an entry keeps of gates' replies was counted by the gate's call only, and the answer was written without a time limit. Change: a scatter takes memory for each part, which its answer holds until it is written, as on the users' path: the caller answers for it, it gives way, and it is given up in time (util.Delivery, which both paths use; answerNotWritten in the time line). Once the answer is encoded, what it doesn't need is given back. What is passed around of a request as it was received is one value now (submission).

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -108,55 +108,76 @@
 	retryAfter time.Duration
 }
 
+// submission is a request as this node received it.
+type submission struct {
+	query.Request
+	// id identifies the submission among all; empty if the request could not be read.
+	id       string
+	received time.Time
+	// scope holds the memory of the replies until the answer is written; nil if the answer
+	// is not written to a caller by this node.
+	scope *memory.Scope
+	// host is the address of the caller; empty if the scope is nil.
+	host string
+}
+
+func newSubmission(request query.Request, scope *memory.Scope) submission {
+	return submission{Request: request, id: uuid.NewString(), received: time.Now(), scope: scope}
+}
+
 // Answer handles one request. It always returns an answer.
 func (e *Entry) Answer(ctx context.Context, request query.Request) *answer.Answer {
-	received := time.Now()
+	return e.answer(ctx, newSubmission(request, nil))
+}
+
+// answer handles a submission. It always returns an answer.
+func (e *Entry) answer(ctx context.Context, s submission) *answer.Answer {
 	e.inProgress.Add(1)
 	defer e.inProgress.Add(-1)
 	ctx, cancel := e.shutdown.withEnding(ctx)
 	defer cancel()
-	id := uuid.NewString()
 	view := e.config.View()
-	a := e.dispatch(ctx, view, request, id, received)
+	a := e.dispatch(ctx, view, s)
 	a.Node = e.config.VM
-	a.Times.TookMicros = time.Since(received).Microseconds()
-	e.Metrics.count(view, request.Kind, a)
+	a.Times.TookMicros = time.Since(s.received).Microseconds()
+	e.Metrics.count(view, s.Kind, a)
 	return a
 }
 
 // dispatch refuses the request if its kind is not known. Otherwise it runs it, by
 // its request key if the kind must not be repeated.
-func (e *Entry) dispatch(ctx context.Context, view *View, request query.Request, id string, received time.Time) *answer.Answer {
+func (e *Entry) dispatch(ctx context.Context, view *View, s submission) *answer.Answer {
 	if view.Document == nil {
-		return e.refuse(view, request, id, received, refusal{answer.CodeNotConfigured, "this node has no configuration yet", true, time.Second})
+		return e.refuse(view, s, refusal{answer.CodeNotConfigured, "this node has no configuration yet", true, time.Second})
 	}
 	e.reportTable.setDocument(view.Document)
-	kind, found := view.Document.Kind(request.Kind)
+	kind, found := view.Document.Kind(s.Kind)
 	if !found {
-		return e.refuse(view, request, id, received, refusal{code: answer.CodeNoSuchKind, message: "the configuration does not define this kind of work"})
+		return e.refuse(view, s, refusal{code: answer.CodeNoSuchKind, message: "the configuration does not define this kind of work"})
 	}
-	e.record(timeline.RequestReceived, id, kind.Name)
+	e.record(timeline.RequestReceived, s.id, kind.Name)
 	if !kind.Repeatable {
-		return e.executeKeyed(ctx, view, kind, request, id, received)
+		return e.executeKeyed(ctx, view, kind, s)
 	}
 	if e.shutdown.refuses(0) {
-		return e.refuse(view, request, id, received, leavingRefusal)
+		return e.refuse(view, s, leavingRefusal)
 	}
-	return e.run(ctx, view, kind, request, id, received)
+	return e.run(ctx, view, kind, s)
 }
 
 // run admits the request, scatters it and merges the answer.
-func (e *Entry) run(ctx context.Context, view *View, kind document.Kind, request query.Request, id string, received time.Time) *answer.Answer {
-	weight, ok := e.reportTable.admit(kind, request.Caller, id, received, len(view.Members))
+func (e *Entry) run(ctx context.Context, view *View, kind document.Kind, s submission) *answer.Answer {
+	weight, ok := e.reportTable.admit(kind, s.Caller, s.id, s.received, len(view.Members))
 	if !ok && !e.config.Direct {
-		return e.refuse(view, request, id, received, refusal{answer.CodeOverloaded, "the requests of this rank exceed the capacity of the upstreams", true, time.Second})
+		return e.refuse(view, s, refusal{answer.CodeOverloaded, "the requests of this rank exceed the capacity of the upstreams", true, time.Second})
 	}
-	s := e.newScatter(request, kind, id, weight, received)
-	if code := s.execute(ctx); code != "" {
-		return e.refuse(view, request, id, received, refusal{code, "no version of the index is known yet", true, resendInterval})
+	sc := e.newScatter(s, kind, weight)
+	defer sc.settleLease()
+	if code := sc.execute(ctx); code != "" {
+		return e.refuse(view, s, refusal{code, "no version of the index is known yet", true, resendInterval})
 	}
-	a := e.mergeAnswer(view, s)
-	e.record(timeline.RequestAnswered, id, string(a.Status))
+	a := e.mergeAnswer(view, sc)
+	e.record(timeline.RequestAnswered, s.id, string(a.Status))
 	return a
 }
 
@@ -169,9 +190,9 @@
 }
 
 // refuse returns the answer to a request that was not run.
-func (e *Entry) refuse(view *View, request query.Request, id string, received time.Time, why refusal) *answer.Answer {
-	e.record(timeline.RequestRefused, id, string(why.code))
-	a := e.newAnswer(view, request, id, received)
+func (e *Entry) refuse(view *View, s submission, why refusal) *answer.Answer {
+	e.record(timeline.RequestRefused, s.id, string(why.code))
+	a := e.newAnswer(view, s)
 	a.Status = answer.NotRun
 	a.Error = &answer.Error{
 		Code:             why.code,
@@ -183,11 +204,11 @@
 }
 
 // newAnswer returns an answer without records and status.
-func (e *Entry) newAnswer(view *View, request query.Request, id string, received time.Time) *answer.Answer {
+func (e *Entry) newAnswer(view *View, s submission) *answer.Answer {
 	now := time.Now()
 	return &answer.Answer{
-		RequestID: id,
-		Kind:      request.Kind,
+		RequestID: s.id,
+		Kind:      s.Kind,
 		Config: answer.Config{
 			Version:            view.ConfigVersion,
 			Current:            view.Current(now),
@@ -195,13 +216,13 @@
 		},
 		Coverage: answer.NewCoverage(nil, nil),
 		Records:  []query.Text{},
-		Times:    answer.Times{ReceivedMicros: received.UnixMicro()},
+		Times:    answer.Times{ReceivedMicros: s.received.UnixMicro()},
 	}
 }
 
 // mergeAnswer merges the replies of a finished scatter into the answer.
 func (e *Entry) mergeAnswer(view *View, s *scatter) *answer.Answer {
-	a := e.newAnswer(view, s.request, s.id, s.received)
+	a := e.newAnswer(view, s.submission)
 	a.Snapshot = answer.Snapshot{Index: s.kind.Index, Version: s.choice.Version}
 	a.Times.Restarts = s.restarts
 	included, omitted, parts := s.collectParts()
--- a/internal/entry/http.go
+++ b/internal/entry/http.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/pkg/answer"
 	"github.com/bronzereach/bronzereach/pkg/member"
@@ -59,16 +60,22 @@
 }
 
 func (e *Entry) serveQuery(w http.ResponseWriter, r *http.Request) {
-	lease := e.openRequestLease(util.CallerHost(r))
-	defer lease.Close()
+	scope := memory.NewScope()
+	defer scope.Release()
+	caller := util.CallerHost(r)
+	lease := e.openRequestLease(caller)
 	request, refused := readRequest(lease, w, r)
+	scope.Add(lease)
+	s := newSubmission(request, scope)
+	s.host = caller
 	if refused != nil {
 		// The rest of the body is not read.
 		w.Header().Set("Connection", "close")
-		e.writeAnswer(w, e.refuse(e.config.View(), request, "", time.Now(), *refused))
+		s.id = ""
+		e.writeAnswer(w, s, e.refuse(e.config.View(), s, *refused))
 		return
 	}
-	e.writeAnswer(w, e.Answer(r.Context(), request))
+	e.writeAnswer(w, s, e.answer(r.Context(), s))
 }
 
 // readRequest reads a request into memory that is taken from the lease. It returns a refusal
@@ -98,7 +105,7 @@
 
 // writeAnswer writes the HTTP response. It encodes the whole body first to send a
 // Content-Length, so that the caller can detect a truncated answer.
-func (e *Entry) writeAnswer(w http.ResponseWriter, a *answer.Answer) {
+func (e *Entry) writeAnswer(w http.ResponseWriter, s submission, a *answer.Answer) {
 	var body bytes.Buffer
 	encoder := json.NewEncoder(&body)
 	encoder.SetEscapeHTML(false)
@@ -106,16 +113,18 @@
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	s.shrink(body.Len())
 	header := w.Header()
 	header.Set("Content-Type", "application/json")
-	header.Set("Content-Length", strconv.Itoa(body.Len()))
 	if a.Error != nil && a.Error.RetryAfterMillis > 0 {
 		seconds := (a.Error.RetryAfterMillis + 999) / 1000
 		header.Set("Retry-After", strconv.FormatInt(seconds, 10))
 	}
-	w.WriteHeader(httpStatus(a))
-	// A write error means that the caller has disconnected.
-	_, _ = body.WriteTo(w)
+	delivery := util.NewDelivery(w, s, s.deadline())
+	defer delivery.End()
+	if err := delivery.Write(httpStatus(a), memory.Split(body.Bytes())); err != nil {
+		e.record(timeline.AnswerNotWritten, s.id, err.Error())
+	}
 }
 
 func (e *Entry) serveAddresses(w http.ResponseWriter, r *http.Request) {
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -23,23 +23,23 @@
 // keyedRequest is a request of a kind that must run at most once. Its key, a
 // ticket or a key of the caller's own, identifies repeated submissions.
 type keyedRequest struct {
-	entry    *Entry
-	view     *View
-	kind     document.Kind
-	request  query.Request
-	id       string
-	received time.Time
+	submission
+	entry *Entry
+	view  *View
+	kind  document.Kind
 }
 
 // executeKeyed runs a request that must run at most once.
-func (e *Entry) executeKeyed(ctx context.Context, view *View, kind document.Kind, request query.Request, id string, received time.Time) *answer.Answer {
-	k := &keyedRequest{entry: e, view: view, kind: kind, request: request, id: id, received: received}
-	ctx, cancel := context.WithDeadline(ctx, received.Add(timeLimit(request, kind)))
+func (e *Entry) executeKeyed(ctx context.Context, view *View, kind document.Kind, s submission) *answer.Answer {
+	// The run may outlast the submission, and its answer is kept.
+	s.scope = nil
+	k := &keyedRequest{submission: s, entry: e, view: view, kind: kind}
+	ctx, cancel := context.WithDeadline(ctx, s.received.Add(timeLimit(s.Request, kind)))
 	defer cancel()
 	switch {
-	case request.Key == "" || len(request.Key) > query.MaximumKeyBytes || strings.ContainsAny(request.Key, "\r\n\x00"):
+	case s.Key == "" || len(s.Key) > query.MaximumKeyBytes || strings.ContainsAny(s.Key, "\r\n\x00"):
 		return k.refuse(refusal{code: answer.CodeKeyMissing, message: "this kind of work needs a request key of 1 to 200 bytes without CR, LF and NUL"})
-	case claim.IsTicket(request.Key):
+	case claim.IsTicket(s.Key):
 		return k.handleTicket(ctx)
 	default:
 		return k.handleCallerKey(ctx)
@@ -47,24 +47,24 @@
 }
 
 func (k *keyedRequest) refuse(why refusal) *answer.Answer {
-	return k.entry.refuse(k.view, k.request, k.id, k.received, why)
+	return k.entry.refuse(k.view, k.submission, why)
 }
 
 // refusedByShutdown reports whether the node leaves and might end before the request.
 func (k *keyedRequest) refusedByShutdown() bool {
-	return k.entry.shutdown.refuses(timeLimit(k.request, k.kind))
+	return k.entry.shutdown.refuses(timeLimit(k.Request, k.kind))
 }
 
 // hasNoTime reports whether a gate would get no time for the request. A run would end at
 // once, and its outcome be unknown for good.
 func (k *keyedRequest) hasNoTime() bool {
-	return timeLimit(k.request, k.kind) <= replyMargin
+	return timeLimit(k.Request, k.kind) <= replyMargin
 }
 
 // unknownAnswer returns the answer to a request that may or may not have run.
 func (k *keyedRequest) unknownAnswer(code answer.Code, message string, retry bool) *answer.Answer {
 	k.entry.record(timeline.RequestAnswered, k.id, string(code))
-	a := k.entry.newAnswer(k.view, k.request, k.id, k.received)
+	a := k.entry.newAnswer(k.view, k.submission)
 	a.Status = answer.Unknown
 	a.Error = &answer.Error{Code: code, Message: message, Retry: retry}
 	return a
@@ -73,7 +73,7 @@
 // handleTicket runs the request if this process issued its ticket. Otherwise it
 // forwards the request to the process that did.
 func (k *keyedRequest) handleTicket(ctx context.Context) *answer.Answer {
-	ticket, err := claim.ParseTicket(k.request.Key)
+	ticket, err := claim.ParseTicket(k.Key)
 	if err != nil {
 		return k.refuse(refusal{code: answer.CodeTicketUnknown, message: "the key is not a valid ticket"})
 	}
@@ -89,11 +89,11 @@
 // older than claim.Retention, since the process may have forgotten its run.
 func (k *keyedRequest) handleOwnTicket(ctx context.Context, ticket claim.Ticket) *answer.Answer {
 	e := k.entry
-	if !e.issuer.Verify(k.request.Key) {
+	if !e.issuer.Verify(k.Key) {
 		return k.refuse(refusal{code: answer.CodeTicketUnknown, message: "this node did not issue the ticket"})
 	}
 	age := e.issuer.Age(time.Now(), ticket)
-	_, started := e.runs.Lookup(k.request.Key)
+	_, started := e.runs.Lookup(k.Key)
 	if !started && k.refusedByShutdown() {
 		return k.refuse(leavingRefusal)
 	}
@@ -106,7 +106,7 @@
 		}
 		return k.unknownAnswer(answer.CodeTicketUnknown, "the ticket has expired and the outcome of its request is no longer stored", false)
 	}
-	run, created := e.runs.Start(time.Now(), k.request.Key, requestHash(k.request))
+	run, created := e.runs.Start(time.Now(), k.Key, requestHash(k.Request))
 	if !created {
 		return k.awaitRun(ctx, run)
 	}
@@ -130,9 +130,9 @@
 func (k *keyedRequest) loop(run *claim.Run, storedClaim *claim.Claim) {
 	k.entry.inProgress.Add(1)
 	defer k.entry.inProgress.Add(-1)
-	a := k.entry.run(context.Background(), k.view, k.kind, k.request, k.id, k.received)
+	a := k.entry.run(context.Background(), k.view, k.kind, k.submission)
 	a.Node = k.entry.config.VM
-	k.entry.runs.Complete(k.request.Key, run, a)
+	k.entry.runs.Complete(k.Key, run, a)
 	if storedClaim == nil {
 		return
 	}
@@ -145,7 +145,7 @@
 
 // awaitRun waits for the answer of a run that another submission started.
 func (k *keyedRequest) awaitRun(ctx context.Context, run *claim.Run) *answer.Answer {
-	if run.Request != requestHash(k.request) {
+	if run.Request != requestHash(k.Request) {
 		return k.refuse(refusal{code: answer.CodeKeyReused, message: "the key was used for another request; this one did not run"})
 	}
 	a := run.Wait(ctx)
@@ -160,21 +160,21 @@
 // if the claim succeeds.
 func (k *keyedRequest) handleCallerKey(ctx context.Context) *answer.Answer {
 	e := k.entry
-	if _, started := e.runs.Lookup(k.request.Key); !started && k.refusedByShutdown() {
+	if _, started := e.runs.Lookup(k.Key); !started && k.refusedByShutdown() {
 		return k.unknownAnswer(answer.CodeLeaving, "this node is shutting down; this submission did not run the request", true)
 	}
-	run, created := e.runs.Start(time.Now(), k.request.Key, requestHash(k.request))
+	run, created := e.runs.Start(time.Now(), k.Key, requestHash(k.Request))
 	if !created {
 		return k.awaitRun(ctx, run)
 	}
-	storedClaim, err := e.config.Claims.Acquire(ctx, k.request.Key, requestHash(k.request))
+	storedClaim, err := e.config.Claims.Acquire(ctx, k.Key, requestHash(k.Request))
 	if err == nil && storedClaim.Acquired {
 		return k.startRun(run, &storedClaim)
 	}
 	a := k.answerUnclaimed(ctx, storedClaim, err)
 	// This submission ran nothing, so the next one with the key must ask the
 	// platform again.
-	e.runs.Cancel(k.request.Key, run, a)
+	e.runs.Cancel(k.Key, run, a)
 	return a
 }
 
@@ -182,11 +182,11 @@
 // stored claim of an earlier submission, or with an error if the platform failed.
 func (k *keyedRequest) answerUnclaimed(ctx context.Context, storedClaim claim.Claim, err error) *answer.Answer {
 	switch {
-	case err != nil && k.request.FirstUse:
+	case err != nil && k.FirstUse:
 		return k.refuse(refusal{answer.CodeStoreDown, "the platform can't be reached to claim the key; a ticket from a node works without the platform", true, time.Second})
 	case err != nil:
 		return k.unknownAnswer(answer.CodeStoreDown, "the platform can't be reached to check whether the request has run before; this submission did not run it", true)
-	case storedClaim.Request != requestHash(k.request):
+	case storedClaim.Request != requestHash(k.Request):
 		return k.refuse(refusal{code: answer.CodeKeyReused, message: "the key was used for another request; this one did not run"})
 	case storedClaim.Answer != nil:
 		return storedClaim.Answer
@@ -230,7 +230,7 @@
 
 // callForward calls the member with the request and returns its answer.
 func (k *keyedRequest) callForward(ctx context.Context, m member.Member) (a *answer.Answer, err error) {
-	body, err := json.Marshal(k.request)
+	body, err := json.Marshal(k.Request)
 	if err != nil {
 		return nil, errors.WithStack(err)
 	}
--- a/internal/entry/scatter.go
+++ b/internal/entry/scatter.go
@@ -13,7 +13,7 @@
 	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/answer"
 	"github.com/bronzereach/bronzereach/pkg/document"
-	"github.com/bronzereach/bronzereach/pkg/query"
+	"github.com/bronzereach/bronzereach/pkg/memory"
 	"github.com/bronzereach/bronzereach/pkg/snapshot"
 )
 
@@ -48,17 +48,17 @@
 // scatter executes one request on all shards of a snapshot. Only the goroutine
 // that calls execute accesses it; gate calls send their results to the channel.
 type scatter struct {
-	entry   *Entry
-	kind    document.Kind
-	request query.Request
-	id      string
-	weight  float64
+	submission
+	entry  *Entry
+	kind   document.Kind
+	weight float64
+	// lease holds the memory of parts.
+	lease *memory.Lease
 	// deadline is when the answer must be sent.
 	deadline time.Time
 	// answerBy is when an answer of sufficient coverage no longer waits for the
 	// remaining shards.
 	answerBy time.Time
-	received time.Time
 
 	// choice is the pinned snapshot, missing lists the services not part of it.
 	choice  snapshot.Choice
@@ -83,17 +83,15 @@
 
 // newScatter returns a scatter whose deadline is that of the kind, or an earlier one
 // that the request asks for.
-func (e *Entry) newScatter(request query.Request, kind document.Kind, id string, weight float64, received time.Time) *scatter {
-	limit := timeLimit(request, kind)
+func (e *Entry) newScatter(s submission, kind document.Kind, weight float64) *scatter {
+	limit := timeLimit(s.Request, kind)
 	return &scatter{
-		entry:    e,
-		kind:     kind,
-		request:  request,
-		id:       id,
-		weight:   weight,
-		deadline: received.Add(limit),
-		answerBy: received.Add(min(limit, kind.AnswerBy)),
-		received: received,
+		submission: s,
+		entry:      e,
+		kind:       kind,
+		weight:     weight,
+		deadline:   s.received.Add(limit),
+		answerBy:   s.received.Add(min(limit, kind.AnswerBy)),
 	}
 }
 
@@ -157,6 +155,7 @@
 	s.choice, s.missing = choice, missing
 	s.pending = make(map[string]snapshot.Shard, len(choice.Shards))
 	s.parts = make(map[string]includedShard, len(choice.Shards))
+	s.openLease()
 	s.omitted = map[string]answer.Code{}
 	s.lostGates = map[string]string{}
 	s.toResend = nil
@@ -289,7 +288,7 @@
 }
 
 // include adds a reply to the answer, unless it was read from another version than
-// the pinned one.
+// the pinned one or there is no memory for it.
 func (s *scatter) include(shard snapshot.Shard, result shardResult) (restart bool) {
 	delete(s.pending, result.service)
 	if result.reply.GetVersion() != s.choice.Version {
@@ -298,6 +297,11 @@
 		s.mayHaveRun = true
 		return false
 	}
+	if err := s.reservePart(result.reply); err != nil {
+		s.omitted[result.service] = answer.CodeNoMemory
+		s.mayHaveRun = true
+		return false
+	}
 	s.parts[result.service] = includedShard{gate: result.gate, reply: result.reply}
 	for _, r := range shard.Ranges {
 		s.covered += float64(r.High-r.Low) / float64(snapshot.KeySpace)
@@ -431,10 +435,10 @@
 		Version:         s.choice.Version,
 		ConfigVersion:   view.ConfigVersion,
 		RemainingMicros: (time.Until(s.deadline) - replyMargin).Microseconds(),
-		Query:           s.request.Query,
+		Query:           s.Query,
 		Weight:          float32(s.weight),
 		SubRequests:     subs,
-		Caller:          s.request.Caller,
+		Caller:          s.submission.Caller,
 		LostGate:        c.to.lostGate,
 	}
 	c.address = view.Members[c.to.vm].PeerAddress
--- a/internal/local/memory_test.go
+++ b/internal/local/memory_test.go
@@ -61,34 +61,46 @@
 	}
 }
 
-// TestHeldBodiesTakeLittleMemory guards against callers of the query API that send all but the
-// end of a long body: what a node holds of them is bounded by its memory, and others are
-// served.
-func TestHeldBodiesTakeLittleMemory(t *testing.T) {
+// memoryLoad keeps a small node busy and asks it meanwhile as other callers do.
+type memoryLoad struct {
+	t      *testing.T
+	system *System
+	stop   chan struct{}
+	// callers are those that keep the node busy until stop is closed.
+	callers sync.WaitGroup
+}
+
+func newMemoryLoad(t *testing.T, lines []byte) *memoryLoad {
 	s, err := Start(context.Background(), Config{
-		Document: SearchDocument(2, 2), Contents: SearchContents(standin.SplitLines([]byte("one line\n")), 2), Nodes: 1, Zones: 1, Memory: smallMemory, Seed: 1, Log: logr.Discard(),
+		Document: SearchDocument(2, 2), Contents: SearchContents(standin.SplitLines(lines), 2),
+		Nodes: 1, Zones: 1, Memory: smallMemory, Seed: 1, Log: logr.Discard(),
 	})
 	t.Cleanup(s.Stop)
 	if err != nil {
 		t.Fatal(err)
 	}
-	body := []byte(`{"kind": "search", "query": "` + strings.Repeat("a", query.MaximumBodyBytes-100))
+	return &memoryLoad{t: t, system: s, stop: make(chan struct{})}
+}
+
+// check checks that the heap keeps to the memory of the node while its callers keep it busy,
+// and that others are served.
+func (l *memoryLoad) check(start func(address string, stop <-chan struct{}, done *sync.WaitGroup), count int) {
+	l.t.Helper()
 	runtime.GC()
 	var before, now runtime.MemStats
 	runtime.ReadMemStats(&before)
-	stop := make(chan struct{})
-	var callers sync.WaitGroup
-	for range holdingCallers {
-		callers.Add(1)
-		go holdBodies(s.Addresses()[0], body, stop, &callers)
+	address := l.system.Addresses()[0]
+	for range count {
+		l.callers.Add(1)
+		go start(address, l.stop, &l.callers)
 	}
 	client := &http.Client{Timeout: soundTimeout}
 	asked, served, peak := 0, 0, uint64(0)
-	for start := time.Now(); time.Since(start) < memoryLoadTime; time.Sleep(20 * time.Millisecond) {
+	for begun := time.Now(); time.Since(begun) < memoryLoadTime; time.Sleep(20 * time.Millisecond) {
 		asked++
-		response, err := client.Post("http://"+s.Addresses()[0]+entry.QueryPath, "application/json", bytes.NewReader([]byte(`{"kind": "search", "query": "one"}`)))
+		response, err := client.Post("http://"+address+entry.QueryPath, "application/json", bytes.NewReader([]byte(`{"kind": "search", "query": "one"}`)))
 		if err != nil {
-			t.Log(err)
+			l.t.Log(err)
 			continue
 		}
 		answer, err := io.ReadAll(response.Body)
@@ -96,7 +108,7 @@
 		if err == nil && response.StatusCode == http.StatusOK {
 			served++
 		} else {
-			t.Logf("status %d: %s %v", response.StatusCode, answer, err)
+			l.t.Logf("status %d: %s %v", response.StatusCode, answer, err)
 		}
 		if asked%20 == 0 {
 			runtime.GC()
@@ -104,14 +116,24 @@
 			peak = max(peak, now.HeapAlloc)
 		}
 	}
-	close(stop)
-	callers.Wait()
+	close(l.stop)
+	l.callers.Wait()
 	grown := memory.Bytes(peak) - memory.Bytes(before.HeapAlloc)
-	t.Logf("the heap grew by %d MB; %d of %d others were served", grown/memory.Megabyte, served, asked)
+	l.t.Logf("the heap grew by %d MB; %d of %d others were served", grown/memory.Megabyte, served, asked)
 	if limit := memory.HeapLimit(smallMemory); grown > limit {
-		t.Errorf("the heap grew by %d MB, it may have %d", grown/memory.Megabyte, limit/memory.Megabyte)
+		l.t.Errorf("the heap grew by %d MB, it may have %d", grown/memory.Megabyte, limit/memory.Megabyte)
 	}
 	if float64(served) < soundShare*float64(asked) {
-		t.Errorf("%d of %d other requests were served", served, asked)
+		l.t.Errorf("%d of %d other requests were served", served, asked)
 	}
 }
+
+// TestHeldBodiesTakeLittleMemory guards against callers of the query API that send all but the
+// end of a long body: what a node holds of them is bounded by its memory, and others are
+// served.
+func TestHeldBodiesTakeLittleMemory(t *testing.T) {
+	body := []byte(`{"kind": "search", "query": "` + strings.Repeat("a", query.MaximumBodyBytes-100))
+	newMemoryLoad(t, []byte("one line\n")).check(func(address string, stop <-chan struct{}, done *sync.WaitGroup) {
+		holdBodies(address, body, stop, done)
+	}, holdingCallers)
+}
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -35,7 +35,7 @@
 	request.scope = memory.NewScope()
 	request.lease = r.config.Memory.Open(memory.Holder{
 		Kind:   memory.Requests,
-		Groups: []memory.Group{{Name: caller, Share: memory.CallerShare}},
+		Groups: []memory.Group{memory.RequestsOf(caller)},
 		Urgent: urgent,
 	})
 	err := request.lease.Reserve(needed, request.Received.Add(memory.AdmissionTimeout))
@@ -78,7 +78,7 @@
 // Deliver tells that the answer is being written: its caller answers for the memory of the
 // replies from now on, not the upstreams. end makes writing fail if others need the memory.
 func (r *Request) Deliver(end func()) {
-	r.scope.Deliver(memory.Group{Name: "answers to " + r.caller, Share: memory.CallerShare}, end)
+	r.scope.Deliver(memory.AnswersTo(r.caller), end)
 }
 
 // Progressed tells that the caller has read a part of the answer.
--- a/internal/timeline/timeline.go
+++ b/internal/timeline/timeline.go
@@ -22,6 +22,7 @@
 const (
 	RequestReceived   Name = "requestReceived"
 	RequestAnswered   Name = "requestAnswered"
+	AnswerNotWritten  Name = "answerNotWritten"
 	RequestRefused    Name = "requestRefused"
 	RequestForwarded  Name = "requestForwarded"
 	BatchReceived     Name = "batchReceived"
--- a/pkg/memory/account_test.go
+++ b/pkg/memory/account_test.go
@@ -26,7 +26,7 @@
 		a := NewAccount(size)
 		var leases []*Lease
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
-			switch rapid.IntRange(0, 4).Draw(t, "step") {
+			switch rapid.IntRange(0, 5).Draw(t, "step") {
 			case 0:
 				holder := upstreamHolder(rapid.SampledFrom([]string{"s", "t"}).Draw(t, "service"), rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "upstream"))
 				holder.Kind = rapid.SampledFrom(Kinds()).Draw(t, "kind")
@@ -45,6 +45,13 @@
 						t.Fatalf("a closed lease got bytes: %v", err)
 					}
 				}
+			case 5:
+				if len(leases) > 0 {
+					l, count := rapid.SampledFrom(leases).Draw(t, "shrunk"), Bytes(rapid.Int64Range(0, 1<<18).Draw(t, "kept"))
+					if l.Shrink(count); l.Held() > count {
+						t.Fatalf("%d bytes held after shrinking to %d", l.Held(), count)
+					}
+				}
 			case 4:
 				if len(leases) > 0 {
 					// Whoever gets an answer may be beyond its share.
--- a/pkg/memory/buffer.go
+++ b/pkg/memory/buffer.go
@@ -31,6 +31,16 @@
 	return Buffer{chunks: [][]byte{bytes}, length: len(bytes)}
 }
 
+// Split returns a buffer of bytes, which must not be changed afterwards, in chunks.
+func Split(bytes []byte) (b Buffer) {
+	b.length = len(bytes)
+	for len(bytes) > 0 {
+		size := min(len(bytes), int(maxChunk))
+		b.chunks, bytes = append(b.chunks, bytes[:size]), bytes[size:]
+	}
+	return b
+}
+
 // Len returns the length in bytes.
 func (b Buffer) Len() int {
 	return b.length
--- a/pkg/memory/lease.go
+++ b/pkg/memory/lease.go
@@ -31,6 +31,16 @@
 	Share float64
 }
 
+// RequestsOf returns the group of the requests of a caller, by its address.
+func RequestsOf(caller string) Group {
+	return Group{Name: caller, Share: CallerShare}
+}
+
+// AnswersTo returns the group of the answers that are written to a caller, by its address.
+func AnswersTo(caller string) Group {
+	return Group{Name: "answers to " + caller, Share: CallerShare}
+}
+
 // party returns the name of the party that answers for the bytes; empty if there is none.
 func (h Holder) party() string {
 	if len(h.Groups) == 0 {
@@ -191,6 +201,18 @@
 	}
 }
 
+// Shrink gives back all bytes beyond the count.
+func (l *Lease) Shrink(count Bytes) {
+	if l.unused() {
+		return
+	}
+	l.account.mu.Lock()
+	defer l.account.mu.Unlock()
+	if l.held > count {
+		l.account.add(l, count-l.held)
+	}
+}
+
 // Progressed records that the holder has made progress.
 func (l *Lease) Progressed() {
 	if l.unused() {
--- a/pkg/memory/scope.go
+++ b/pkg/memory/scope.go
@@ -58,6 +58,15 @@
 	s.leases = append(s.leases, l)
 }
 
+// ShrinkReplies lets each lease of a reply keep no more than the count.
+func (s *Scope) ShrinkReplies(count Bytes) {
+	for _, l := range s.all() {
+		if l.Kind() == Replies {
+			l.Shrink(count)
+		}
+	}
+}
+
 // Deliver lets the group, the caller that gets the answer, answer for the replies from now on.
 // end ends the delivery if the leases must give way to others.
 func (s *Scope) Deliver(to Group, end func()) {
