The query API answers 503 only what has not run

Callers saw: status 503 with "unknown" where the store could not be asked whether a key had run before (storeDown), and where an upstream's attempt failed for lack of memory or room (overloaded, noMemory). Callers take 503 for "not run"; the code said so for one case of it (leaving). Cause: the status followed from the code alone.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -319,16 +319,20 @@
 	return xxhash.Sum64String(request.Kind + "\x00" + string(request.Query))
 }
 
-// httpStatus returns the HTTP status of an answer.
+// httpStatus returns the HTTP status of an answer. 503 says that the request has not run.
 func httpStatus(a *answer.Answer) int {
 	if a.Error == nil {
 		return http.StatusOK
 	}
-	if a.Error.Code == answer.CodeLeaving && a.Status == answer.Unknown {
-		// 503 would say that the request has not run.
+	status := errorStatus(a.Error.Code)
+	if status == http.StatusServiceUnavailable && a.Status != answer.NotRun {
 		return http.StatusGatewayTimeout
 	}
-	switch a.Error.Code {
+	return status
+}
+
+func errorStatus(code answer.Code) int {
+	switch code {
 	case answer.CodeInvalid, answer.CodeKeyMissing:
 		return http.StatusBadRequest
 	case answer.CodeNoSuchKind:
