Commands give up responses of nodes without end

Operators saw: nothing yet; from the list of places that read from a socket. Cause: the commands that ask nodes (status, timeline, explain, trial, promote) read a response whole, without a bound, for up to a minute. Change: 64 MiB; the longest response is a time line of 8,192 events.

TestEndlessResponseOfANodeIsGivenUp: all 268,435,456 bytes on offer taken before (failed), less than half of them after.

--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -23,8 +23,12 @@
 	"github.com/bronzereach/bronzereach/pkg/query"
 )
 
-// operatorTimeout bounds an HTTP call to a node.
-const operatorTimeout = 60 * time.Second
+const (
+	// operatorTimeout bounds an HTTP call to a node.
+	operatorTimeout = 60 * time.Second
+	// maxResponseBytes bounds a node's response. The longest ones hold a time line.
+	maxResponseBytes = 64 << 20
+)
 
 // callNode sends an HTTP request to a node and decodes the JSON of the response. It
 // ignores the status code: the JSON tells whether the call succeeded.
@@ -46,10 +50,13 @@
 		return errors.WithStack(err)
 	}
 	defer response.Body.Close()
-	text, err := io.ReadAll(response.Body)
+	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return errors.WithStack(err)
 	}
+	if len(text) > maxResponseBytes {
+		return errors.Errorf("the response of node %s is longer than %d bytes", address, maxResponseBytes)
+	}
 	if err := json.Unmarshal(text, into); err != nil {
 		return errors.Errorf("node %s responded with status %d and without valid JSON", address, response.StatusCode)
 	}
--- a/internal/cli/remote_test.go
+++ b/internal/cli/remote_test.go
@@ -8,9 +8,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -185,3 +187,26 @@
 		t.Errorf("load with a document as the plan: exit code %d, want exitUsage", code)
 	}
 }
+
+// TestEndlessResponseOfANodeIsGivenUp guards against a node, or what answers at its address,
+// that sends bytes without end: a command ends with an error and does not keep them all.
+func TestEndlessResponseOfANodeIsGivenUp(t *testing.T) {
+	var sent atomic.Int64
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		block := bytes.Repeat([]byte(" "), 1<<20)
+		for sent.Load() < 4*maxResponseBytes {
+			n, err := w.Write(block)
+			if sent.Add(int64(n)); err != nil {
+				return
+			}
+		}
+	}))
+	defer server.Close()
+	code, out := runMain("status", "-nodes", strings.TrimPrefix(server.URL, "http://"))
+	if code == exitDone {
+		t.Errorf("exit code %d: %s", code, out)
+	}
+	if got := sent.Load(); got > 2*maxResponseBytes {
+		t.Errorf("%d bytes were taken", got)
+	}
+}
