check tells of settings with too little memory

Operators saw: a node with memoryMegabytes = 30 starts like any other, and gives up all long replies with nothing said before. Cause: the account has a least size, and nothing compared its shares with one of the largest requests or replies. Change: check -settings reads the settings of a node, says how much its account has, and refuses less memory than the largest reply, or request on the product's own platform, needs; a node with less starts and logs memoryTooSmall.

TestCheckRefusesTooLittleMemory (30 and 60 MB refused, 71, 184 and 284 not; there was no such check before) and TestMinimumLimitIsEnough (rapid).

--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -50,6 +50,9 @@
 	logOutput := logqueue.New(streams.Out)
 	defer logOutput.Close(logCloseTimeout)
 	log := newLog(logOutput)
+	if err := checkMemory(options); err != nil {
+		log.Info("memoryTooSmall", "vm", options.VM, "problem", err.Error())
+	}
 	n, err := node.New(options, log)
 	if err != nil {
 		return exitFailed, err
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -88,6 +88,8 @@
 type documentOptions struct {
 	node     string
 	document string
+	// settings is a file with the settings of a node; "check" only.
+	settings string
 	operator string
 	base     uint64
 }
@@ -255,8 +257,9 @@
 func parseDocument(name string, arguments []string, out io.Writer) (options documentOptions, err error) {
 	remote := name != "check"
 	set, err := parseFlags(name, arguments, out, func(set *flag.FlagSet) {
-		set.StringVar(&options.document, "document", "", "TOML file with the operators' document (required)")
+		set.StringVar(&options.document, "document", "", "TOML file with the operators' document")
 		if !remote {
+			set.StringVar(&options.settings, "settings", "", "TOML file with the settings of a node")
 			return
 		}
 		set.StringVar(&options.node, "node", "", "caller address of a node (required)")
@@ -267,7 +270,7 @@
 		return options, err
 	}
 	switch {
-	case options.document == "":
+	case options.document == "" && options.settings == "":
 		return options, errors.WithMessage(errUsage, "-document is missing")
 	case remote && options.node == "":
 		return options, errors.WithMessage(errUsage, "-node is missing")
--- a/internal/cli/options_test.go
+++ b/internal/cli/options_test.go
@@ -1,7 +1,10 @@
 package cli
 
 import (
+	"fmt"
 	"io"
+	"os"
+	"path/filepath"
 	"testing"
 	"time"
 
@@ -23,3 +26,19 @@
 		}
 	}
 }
+
+// TestCheckRefusesTooLittleMemory: settings with which not even one of the largest replies fits
+// are refused; those of the users' sites are not.
+func TestCheckRefusesTooLittleMemory(t *testing.T) {
+	const foreign = "vm = \"vm-1\"\navailabilityZone = \"z\"\ncallerAddress = \"a:1\"\npeerAddress = \"a:2\"\n" +
+		"[foreign]\nstore = \"a:3\"\nreadiness = \"a:4\"\ndirectory = \"a:5\"\nmetrics = \"a:6\"\nmemoryMegabytes = %d\n"
+	for megabytes, want := range map[int]int{30: exitUsage, 60: exitUsage, 71: exitDone, 184: exitDone, 284: exitDone} {
+		file := filepath.Join(t.TempDir(), "node.toml")
+		if err := os.WriteFile(file, fmt.Appendf(nil, foreign, megabytes), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if code, out := runMain("check", "-settings", file); code != want {
+			t.Errorf("%d MB: exit code %d, want %d: %s", megabytes, code, want, out)
+		}
+	}
+}
--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -108,6 +108,14 @@
 	if err != nil {
 		return exitUsage, err
 	}
+	if options.settings != "" {
+		if err := checkSettings(options.settings, streams.Out); err != nil {
+			return exitUsage, errors.WithMessage(errUsage, err.Error())
+		}
+	}
+	if options.document == "" {
+		return exitDone, nil
+	}
 	text, err := readDocument(options.document)
 	if err != nil {
 		return exitUsage, err
--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -22,6 +22,11 @@
 	smallPartBytes = 4 * memory.Kilobyte
 )
 
+// MinimumMemory returns how much memory a node needs to hold one of the largest requests.
+func MinimumMemory() memory.Bytes {
+	return memory.MinimumLimit(memory.Requests, memory.RequestBytes+(1+decodeFactor)*query.MaximumBodyBytes)
+}
+
 // openRequestLease opens the lease of a caller's request. Its rank is not known yet.
 func (e *Entry) openRequestLease(caller string) *memory.Lease {
 	return e.config.Memory.Open(memory.Holder{
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -18,6 +18,11 @@
 	headFactor = 4
 )
 
+// ReplyBytes returns what a reply takes with a head and a body of the given lengths.
+func ReplyBytes(head, body int) memory.Bytes {
+	return headFactor*memory.Bytes(max(head-smallHeadBytes, 0)) + max(memory.Bytes(body)-smallReplyBytes, 0)
+}
+
 // Admit takes the memory that a request of the caller, an IP address, needs besides its body.
 // It returns a refusal if there is none. In any case the request must be released once its answer has been written.
 func (r *Relay) Admit(request *Request, caller string) *Answer {
--- a/pkg/memory/account_test.go
+++ b/pkg/memory/account_test.go
@@ -270,3 +270,22 @@
 		t.Error("the memory of the machine is not known")
 	}
 }
+
+// TestMinimumLimitIsEnough: a node with the least memory for a lease can hold it, one with a
+// little less can't.
+func TestMinimumLimitIsEnough(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		kind := rapid.SampledFrom([]Kind{Requests, Replies}).Draw(t, "kind")
+		bytes := Bytes(rapid.Int64Range(int64(4*Megabyte), 1<<30).Draw(t, "bytes"))
+		limit := MinimumLimit(kind, bytes)
+		for _, c := range []struct {
+			limit Bytes
+			fits  bool
+		}{{limit, true}, {limit - Megabyte, false}} {
+			err := NewAccount(AccountSize(c.limit, 1)).Open(Holder{Kind: kind}).Reserve(bytes, time.Now())
+			if (err == nil) != c.fits {
+				t.Fatalf("%d bytes of %s with %d: %v", bytes, kind, c.limit, err)
+			}
+		}
+	})
+}
--- a/pkg/memory/limit.go
+++ b/pkg/memory/limit.go
@@ -39,6 +39,13 @@
 	return max((HeapLimit(limit)-own)/garbageFactor, minimumSize)
 }
 
+// MinimumLimit returns the memory with which a node alone can hold one lease of the kind with
+// the bytes.
+func MinimumLimit(kind Kind, bytes Bytes) Bytes {
+	size := Bytes(float64(bytes)/(kindShares[kind]*(1-urgentShare))) + 1
+	return Bytes(float64(garbageFactor*size+ownBytes+memberBytes)/heapShare) + 1
+}
+
 // MaxConnections returns how many connections of callers a node with the memory may have.
 func MaxConnections(limit Bytes) int {
 	return int(connectionsShare * float64(limit) / float64(connectionBytes))
