Connections of peers that send no hello make room

Cause: anybody may open connections to the peers' address; each is waited for 1 s, and their number was bounded by the process's descriptors alone, which callers and upstreams need too. Change: an eighth of the descriptors; beyond it the oldest one without a hello is closed, as members send theirs at once. The bound follows from the descriptors so that a start of a whole fleet, in which all ask the same seeds, stays below it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -59,6 +59,9 @@
 	// callerDescriptorShare is the share of the process's file descriptors that
 	// connections of callers may use; the others are for upstreams, peers and the store.
 	callerDescriptorShare = 0.5
+	// handshakeDescriptorShare is the share of those that accepted connections of peers may
+	// use before their hello.
+	handshakeDescriptorShare = 1.0 / 8
 	// shutdownTimeout bounds the time to write the last answers.
 	shutdownTimeout = 2 * time.Second
 )
@@ -188,6 +191,8 @@
 		TLS:      mutualTLS,
 		Memory:   n.memory,
 		Log:      n.log,
+
+		MaxHandshakes: int(handshakeDescriptorShare * float64(n.MaxDescriptors())),
 	})
 	n.gates = gate.New(gate.Config{
 		VM:          n.options.VM,
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -72,6 +72,9 @@
 	TLS *tls.Config
 	// Memory bounds what the messages of other nodes take; nil for no bound.
 	Memory *memory.Account
+	// MaxHandshakes is the number of accepted connections that have not sent their hello
+	// yet; 0 for no bound.
+	MaxHandshakes int
 }
 
 // openLease opens a lease for messages of a VM. They never give way, but wait for memory.
@@ -85,7 +88,8 @@
 type Network struct {
 	config Config
 	// Traffic counts the bytes and calls of all links.
-	Traffic Traffic
+	Traffic    Traffic
+	handshakes *handshakes
 
 	mu sync.Mutex
 	// links holds the link that new calls to a VM use. Both nodes may have dialled,
@@ -100,10 +104,11 @@
 // NewNetwork returns a network without links.
 func NewNetwork(config Config) *Network {
 	return &Network{
-		config:    config,
-		links:     map[string]*link{},
-		dialling:  map[string]*dial{},
-		openLinks: util.NewSet[*link](),
+		config:     config,
+		handshakes: newHandshakes(config.MaxHandshakes),
+		links:      map[string]*link{},
+		dialling:   map[string]*dial{},
+		openLinks:  util.NewSet[*link](),
 	}
 }
 
@@ -127,10 +132,12 @@
 }
 
 func (n *Network) accept(ctx context.Context, conn net.Conn) {
+	position := n.handshakes.begin(conn)
 	if n.config.TLS != nil {
 		conn = tls.Server(conn, n.config.TLS)
 	}
 	l, err := newLink(conn, false, n.hello(), &n.Traffic)
+	n.handshakes.end(position)
 	if err != nil {
 		_ = conn.Close()
 		return
