The load tool plays endless replies in all their parts, and callers that stall

The stand-in for upstreams sent endless bodies only, and the load tool had no faulty callers, so that the bounds of memory could not be tried as an operator would.

TestEndlessUpstreamIsLeftOut in seven parts, TestSlowCallersHinderNobody in three, on nodes of 71 MB.

--- a/internal/load/disturbance.go
+++ b/internal/load/disturbance.go
@@ -57,6 +57,8 @@
 	// Share is the fraction of the upstreams of all services; 0 for one upstream.
 	Share  float64
 	Effect Effect
+	// Endless is the part of the replies that has no end.
+	Endless standin.EndlessPart
 	// RetryAfter is how long a shedding upstream says that it wants no requests.
 	RetryAfter time.Duration
 	// Listed is true if the platform lists a leaving upstream as leaving.
@@ -109,6 +111,12 @@
 	if d.Effect == Shed {
 		d.RetryAfter = table.DurationOr("retryAfter", 0)
 	}
+	if d.Effect == Endless {
+		d.Endless = standin.EndlessPart(table.TextOr("part", string(standin.EndlessBody)))
+		if !standin.IsEndlessPart(d.Endless) {
+			table.Problemf("part", "the part %q of a reply is not known", d.Endless)
+		}
+	}
 }
 
 // checkDisturbances returns an error if a disturbance is of no upstream of the document.
@@ -223,7 +231,7 @@
 	case Silent:
 		u.InjectFaults(standin.UpstreamFaults{Silent: true})
 	case Endless:
-		u.InjectFaults(standin.UpstreamFaults{Endless: true})
+		u.InjectFaults(standin.UpstreamFaults{Endless: d.Endless})
 	case Shed:
 		u.InjectFaults(standin.UpstreamFaults{Shed: true, RetryAfter: d.RetryAfter})
 	case Dead:
--- a/internal/load/disturbance_test.go
+++ b/internal/load/disturbance_test.go
@@ -35,6 +35,7 @@
 const planText = `document = "document.toml"
 nodes = 2
 zones = 1
+memoryMegabytes = 71
 warmup = "200ms"
 duration = "3s"
 serviceTime = "20ms"
--- a/internal/load/plan.go
+++ b/internal/load/plan.go
@@ -11,6 +11,7 @@
 
 	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/pkg/document"
+	"github.com/bronzereach/bronzereach/pkg/memory"
 )
 
 // Plan describes a load test. Times of the run count from the end of the warmup.
@@ -18,6 +19,8 @@
 	Document *document.Document
 	Nodes    int
 	Zones    int
+	// Memory is the memory that each node may use; 0 for that of the machine.
+	Memory memory.Bytes
 	// Warmup is the time under load before time 0. Only streams without a start
 	// time send requests during it.
 	Warmup   time.Duration
@@ -36,6 +39,7 @@
 	// Latency is the simulated one-way network latency to an upstream.
 	Latency      time.Duration
 	Streams      []Stream
+	SlowCallers  []SlowCallers
 	Disturbances []Disturbance
 	Phases       []Phase
 }
@@ -78,6 +82,7 @@
 	root := reader.Root()
 	plan.Nodes = root.Count("nodes")
 	plan.Zones = root.Count("zones")
+	plan.Memory = memory.Bytes(root.CountOr("memoryMegabytes", 0)) * memory.Megabyte
 	plan.Warmup = root.DurationOr("warmup", time.Second)
 	plan.Duration = root.Duration("duration")
 	plan.ServiceTime = root.Duration("serviceTime")
@@ -88,6 +93,7 @@
 	plan.Latency = root.DurationOr("latency", 0)
 	name := root.Text("document")
 	readStreams(root, &plan)
+	readSlowCallers(root, &plan)
 	readDisturbances(root, &plan)
 	readPhases(root, &plan)
 	if err := reader.Finish(); err != nil {
--- a/internal/load/played_test.go
+++ b/internal/load/played_test.go
@@ -2,18 +2,26 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 
 	"github.com/go-logr/logr"
 
 	"github.com/bronzereach/bronzereach/internal/gate"
+	"github.com/bronzereach/bronzereach/internal/standin"
 	"github.com/bronzereach/bronzereach/pkg/answer"
 )
 
 // playDisturbance plays a disturbance of a pool of three upstreams.
 func playDisturbance(t *testing.T, disturbance string) (*Report, ReportRow) {
 	t.Helper()
-	plan, err := readTestPlan(t, 3, "[[disturbance]]\n"+disturbance+"\n")
+	return play(t, "[[disturbance]]\n"+disturbance+"\n")
+}
+
+// play plays a plan for a pool of three upstreams with the given tables.
+func play(t *testing.T, tables string) (*Report, ReportRow) {
+	t.Helper()
+	plan, err := readTestPlan(t, 3, tables)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -51,11 +59,34 @@
 	}
 }
 
-// TestEndlessUpstreamIsLeftOut plays an upstream whose replies have no end: once the gates
-// have seen that, the others serve on.
+// TestEndlessUpstreamIsLeftOut plays an upstream whose replies have no end, in each part of
+// them: once the gates have seen that, the others serve on.
 func TestEndlessUpstreamIsLeftOut(t *testing.T) {
-	_, row := playDisturbance(t, "service = \"orders\"\nreplica = 1\neffect = \"endless\"")
-	if row.Offered == 0 || row.Answered < row.Offered*9/10 {
-		t.Errorf("%d of %d requests were answered", row.Answered, row.Offered)
+	for _, part := range []standin.EndlessPart{
+		standin.EndlessBody, standin.EndlessHead, standin.EndlessInterim, standin.EndlessChunkExtension,
+		standin.EndlessTrailers, standin.EndlessWait, standin.EndlessSurplus,
+	} {
+		t.Run(string(part), func(t *testing.T) {
+			t.Parallel()
+			_, row := playDisturbance(t, fmt.Sprintf("service = \"orders\"\nreplica = 1\neffect = \"endless\"\npart = %q", part))
+			if row.Offered == 0 || row.Answered < row.Offered*9/10 {
+				t.Errorf("%d of %d requests were answered", row.Answered, row.Offered)
+			}
+		})
+	}
+}
+
+// TestSlowCallersHinderNobody plays callers that stall in each part of an exchange: others are
+// served by nodes with little memory.
+func TestSlowCallersHinderNobody(t *testing.T) {
+	for _, stalls := range []Stall{StallHead, StallBody, StallAnswer} {
+		t.Run(string(stalls), func(t *testing.T) {
+			t.Parallel()
+			plan := fmt.Sprintf("[[slowCallers]]\nstalls = %q\nkind = \"order\"\ncount = 60\n", stalls)
+			_, row := play(t, plan)
+			if row.Offered == 0 || row.Answered < row.Offered*9/10 {
+				t.Errorf("%d of %d requests were answered", row.Answered, row.Offered)
+			}
+		})
 	}
 }
--- a/internal/load/run.go
+++ b/internal/load/run.go
@@ -90,6 +90,7 @@
 		EnforceLimits: true,
 		Nodes:         plan.Nodes,
 		Zones:         plan.Zones,
+		Memory:        plan.Memory,
 		Mode:          config.Mode,
 		Seed:          config.Seed,
 		Log:           config.Log,
@@ -108,6 +109,7 @@
 		r.group.Add(1)
 		go r.loop(ctx, stream, config.Seed*100+uint64(i))
 	}
+	r.startSlowCallers(ctx)
 	r.scheduleDisturbances()
 	r.group.Wait()
 	return r.report(), nil
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -59,8 +59,9 @@
 	WrongRequest bool
 	// WrongVersion replies with a version and a record that were not requested.
 	WrongVersion bool
-	// Endless sends records without end in place of each reply.
-	Endless bool
+	// Endless sends a reply without an end in this part in place of each reply; empty for
+	// none.
+	Endless EndlessPart
 	// Silent accepts requests and never replies.
 	Silent bool
 	// Slowdown is a factor on service times; 0 means 1.
@@ -316,14 +317,14 @@
 	sleep(ctx, u.config.Latency)
 	reply.Outcome = upstream.Done
 	reply.Records = search(contents.Lines, request.Query)
-	if u.isEndless() {
-		sendEndless(w, r)
+	if part := u.endlessPart(); part != "" {
+		sendEndless(w, part)
 		return
 	}
 	u.sendReply(w, reply)
 }
 
-func (u *Upstream) isEndless() bool {
+func (u *Upstream) endlessPart() EndlessPart {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	return u.faults.Endless
@@ -418,9 +419,6 @@
 
 // sleep waits for a duration. It returns false if ctx is done first.
 func sleep(ctx context.Context, duration time.Duration) bool {
-	if duration <= 0 {
-		return true
-	}
 	if duration <= 0 {
 		return true
 	}
