An upstream that started after a notice is used by the next gate

Cause: the list names addresses, and such a node knows no process there, so that the mark can't end with one. Change: a state may tell how long its process has been running (uptimeMicros, a steady clock; absent in older upstreams, for which nothing changes). A mark that named no process ends if the present one certainly started after the node was told, by the time at which the poll was sent. Odd uptimes tell nothing.

--- a/internal/gate/report.go
+++ b/internal/gate/report.go
@@ -53,7 +53,7 @@
 	if err != nil {
 		return
 	}
-	s.updateState(position, state)
+	s.updateState(position, state, sentAt)
 	s.recordStatement(statement{
 		address:     address,
 		incarnation: state.Incarnation,
@@ -64,13 +64,16 @@
 	})
 }
 
-func (s *service) updateState(position int, state upstream.State) {
+func (s *service) updateState(position int, state upstream.State, sentAt time.Time) {
 	numbers := make([]uint64, len(state.Versions))
 	for i, version := range state.Versions {
 		numbers[i] = version.Number
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if notBefore, known := state.StartedNotBefore(sentAt); known {
+		s.upstreams.NoteStart(position, notBefore)
+	}
 	s.upstreams.UpdateState(position, state.Incarnation, numbers)
 	s.reportedVersions[position] = state.Versions
 }
--- a/internal/gate/told.go
+++ b/internal/gate/told.go
@@ -69,7 +69,7 @@
 		s.mu.Unlock()
 		return
 	}
-	leaves := st.leaving && s.upstreams.MarkLeaving(position, st.incarnation)
+	leaves := st.leaving && s.upstreams.MarkLeaving(position, st.incarnation, now)
 	backsOff := st.retryAfter > 0 && s.upstreams.BackOff(position, st.incarnation, now, now.Add(st.retryAfter), s.random)
 	told := timeline.Told{Source: st.source, Outcome: string(st.outcome), Usable: s.upstreams.CountUsable(now)}
 	unused := s.upstreams.BacksOffUntil(position).Sub(now)
@@ -211,6 +211,6 @@
 		if mark.incarnation == "" && s.upstreams.Incarnation(position) != "" {
 			continue
 		}
-		s.upstreams.MarkLeaving(position, mark.incarnation)
+		s.upstreams.MarkLeaving(position, mark.incarnation, mark.at)
 	}
 }
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -116,8 +116,9 @@
 	openConnections int
 	peakConnections int
 	executions      []Execution
-	// incarnation is incremented by Restart.
+	// incarnation is incremented by Restart; startedAt is when it started.
 	incarnation int
+	startedAt   time.Time
 }
 
 // StartUpstream starts an upstream that serves until Close.
@@ -132,6 +133,8 @@
 		listener: listener,
 		random:   rand.New(rand.NewPCG(config.Seed, 1)),
 		contents: map[uint64]Contents{},
+
+		startedAt: time.Now(),
 	}
 	if config.Slots > 0 {
 		u.slots = make(chan struct{}, config.Slots)
@@ -201,6 +204,7 @@
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.incarnation++
+	u.startedAt = time.Now()
 	u.leaving, u.tellsLeaving, u.notice = false, false, notice{}
 }
 
@@ -265,11 +269,13 @@
 func (u *Upstream) serveState(w http.ResponseWriter, r *http.Request) {
 	u.delayNewConnection(r.Context())
 	u.mu.Lock()
+	uptime := time.Since(u.startedAt).Microseconds()
 	state := upstream.State{
-		Index:       u.config.Index,
-		Incarnation: strconv.Itoa(u.incarnation),
-		Healthy:     !u.faults.Unhealthy,
-		Load:        upstream.Load{InFlight: u.inFlight, Queued: u.queued, Leaving: u.leaving || u.announcesLeaving, RetryAfter: upstream.RetryAfter(u.faults.StateRetryAfter)},
+		Index:        u.config.Index,
+		Incarnation:  strconv.Itoa(u.incarnation),
+		UptimeMicros: &uptime,
+		Healthy:      !u.faults.Unhealthy,
+		Load:         upstream.Load{InFlight: u.inFlight, Queued: u.queued, Leaving: u.leaving || u.announcesLeaving, RetryAfter: upstream.RetryAfter(u.faults.StateRetryAfter)},
 	}
 	for number, contents := range u.contents {
 		state.Versions = append(state.Versions, upstream.Version{Number: number, Ranges: contents.Ranges})
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -102,7 +102,9 @@
 	downUntil time.Time
 	backoff   backoff
 	// leaving stays true until another incarnation of the upstream is seen.
-	leaving     bool
+	leaving bool
+	// markedAt is when leaving was set although no process was known; zero otherwise.
+	markedAt    time.Time
 	incarnation string
 	// versions is sorted.
 	versions []uint64
--- a/pkg/replica/told.go
+++ b/pkg/replica/told.go
@@ -18,10 +18,10 @@
 	return incarnation == "" || u.incarnation == "" || incarnation == u.incarnation
 }
 
-// MarkLeaving records that an incarnation of the upstream is leaving, which is taken for the
-// present one if none was seen. The upstream gets no new attempts until another incarnation
-// is seen. It reports whether the upstream was not yet marked.
-func (s *Set) MarkLeaving(position int, incarnation string) bool {
+// MarkLeaving records that an incarnation of the upstream is leaving, as was told at the given
+// time, which is taken for the present one if none was seen. The upstream gets no new attempts
+// until another incarnation is seen. It reports whether the upstream was not yet marked.
+func (s *Set) MarkLeaving(position int, incarnation string, at time.Time) bool {
 	state := &s.states[position]
 	if !state.isIncarnation(incarnation) {
 		return false
@@ -29,6 +29,9 @@
 	if state.incarnation == "" {
 		state.incarnation = incarnation
 	}
+	if state.incarnation == "" {
+		state.markedAt = at
+	}
 	changed := !state.leaving
 	state.leaving = true
 	return changed
@@ -47,6 +50,15 @@
 	return s.states[position].backoff.until
 }
 
+// NoteStart records that the present process of the upstream started no sooner than at the
+// given time. A mark that named no process, and was told before, is about a former one.
+func (s *Set) NoteStart(position int, notBefore time.Time) {
+	state := &s.states[position]
+	if !state.markedAt.IsZero() && notBefore.After(state.markedAt) {
+		state.leaving, state.markedAt = false, time.Time{}
+	}
+}
+
 // UpdateState records the incarnation and the index versions that the upstream
 // reports. For a new incarnation the concurrency limit starts again at 1, and the
 // latency, the failures, the backoff and the leaving mark are cleared.
@@ -59,7 +71,7 @@
 			state.limit = 1
 			state.latency = 0
 		}
-		state.incarnation = incarnation
+		state.incarnation, state.markedAt = incarnation, time.Time{}
 		state.failures = 0
 		state.downUntil = time.Time{}
 	}
@@ -79,6 +91,7 @@
 		told := &previous.states[position]
 		if state.incarnation == "" || told.leaving || told.backoff != (backoff{}) {
 			state.incarnation, state.leaving, state.backoff = told.incarnation, told.leaving, told.backoff
+			state.markedAt = told.markedAt
 		}
 	}
 }
--- a/pkg/upstream/protocol.go
+++ b/pkg/upstream/protocol.go
@@ -4,6 +4,8 @@
 package upstream
 
 import (
+	"time"
+
 	"github.com/bronzereach/bronzereach/pkg/query"
 	"github.com/bronzereach/bronzereach/pkg/snapshot"
 )
@@ -108,8 +110,24 @@
 type State struct {
 	Index string `json:"index,omitempty"`
 	// Incarnation identifies the process; it changes with every start.
-	Incarnation string    `json:"incarnation"`
-	Versions    []Version `json:"versions,omitempty"`
-	Healthy     bool      `json:"healthy"`
-	Load        Load      `json:"load"`
+	Incarnation string `json:"incarnation"`
+	// UptimeMicros is how long the process has been running, in microseconds; nil if the
+	// upstream doesn't say so.
+	UptimeMicros *int64    `json:"uptimeMicros,omitempty"`
+	Versions     []Version `json:"versions,omitempty"`
+	Healthy      bool      `json:"healthy"`
+	Load         Load      `json:"load"`
+}
+
+// maxUptime bounds the uptime that is believed.
+const maxUptime = 100 * 365 * 24 * time.Hour
+
+// StartedNotBefore returns a time before which the process did not start, for a state that was
+// asked for at the given time; known is false if the state doesn't tell.
+func (s State) StartedNotBefore(askedAt time.Time) (start time.Time, known bool) {
+	if s.UptimeMicros == nil || *s.UptimeMicros < 0 || *s.UptimeMicros > maxUptime.Microseconds() {
+		return time.Time{}, false
+	}
+	// The number is rounded down.
+	return askedAt.Add(-time.Duration(*s.UptimeMicros+1) * time.Microsecond), true
 }
