Outcomes kept under a key take a share of the memory

Change: they may take 15% of the process's memory. The oldest answers go first; a repeated submission then gets the status and answerGone (410), as the run itself is never forgotten before its time. Where not even the runs fit, new keys are refused, not run, with the time until the oldest may be forgotten. Whoever submits first gets its answer in any case. The table's tick looks at the oldest runs only, no longer at all; a submission whose time ends as the run does gets the answer. New metric bronzereach_run_outcomes_bytes.

--- a/internal/entry/entry.go
+++ b/internal/entry/entry.go
@@ -46,6 +46,9 @@
 	Direct bool
 	// Memory bounds what requests and replies take; nil for no bound.
 	Memory *memory.Account
+	// OutcomeMemory bounds what the outcomes of requests that must not be repeated take; 0
+	// for no bound.
+	OutcomeMemory memory.Bytes
 }
 
 // Entry handles the requests of callers.
@@ -67,7 +70,7 @@
 		config:      config,
 		reportTable: newReportTable(),
 		issuer:      claim.NewIssuer(config.VM, config.Process),
-		runs:        claim.NewRunTable(),
+		runs:        claim.NewRunTable(config.OutcomeMemory),
 		shutdown:    newShutdown(),
 		Metrics:     newMetrics(),
 	}
@@ -78,6 +81,11 @@
 	return e.inProgress.Load()
 }
 
+// OutcomeBytes returns the memory that the outcomes of requests that must not be repeated take.
+func (e *Entry) OutcomeBytes() memory.Bytes {
+	return e.runs.Held()
+}
+
 // Tick removes the outcomes of runs that are older than claim.Retention.
 func (e *Entry) Tick(now time.Time) {
 	e.runs.Tick(now)
@@ -341,7 +349,7 @@
 		return http.StatusRequestEntityTooLarge
 	case answer.CodeInProgress, answer.CodeKeyReused:
 		return http.StatusConflict
-	case answer.CodeTicketUnknown, answer.CodeIssuerGone:
+	case answer.CodeTicketUnknown, answer.CodeIssuerGone, answer.CodeAnswerGone:
 		return http.StatusGone
 	case answer.CodeOverloaded, answer.CodeNotConfigured, answer.CodeStoreDown, answer.CodeNoSnapshot, answer.CodeLeaving, answer.CodeNoMemory:
 		return http.StatusServiceUnavailable
--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -107,32 +107,42 @@
 		return k.unknownAnswer(answer.CodeTicketUnknown, "the ticket has expired and the outcome of its request is no longer stored", false)
 	}
 	run, created := e.runs.Start(time.Now(), k.Key, requestHash(k.Request))
-	if !created {
+	switch {
+	case run == nil:
+		return k.refuse(k.noRoom())
+	case !created:
 		return k.awaitRun(ctx, run)
+	default:
+		return k.startRun(run, nil)
 	}
-	return k.startRun(run, nil)
 }
 
 // startRun runs the request on a goroutine that outlives the connection of the
 // caller, and waits for the answer, or until the node has to answer what it knows.
 // storedClaim is nil for a ticket.
 func (k *keyedRequest) startRun(run *claim.Run, storedClaim *claim.Claim) *answer.Answer {
-	go k.loop(run, storedClaim)
-	if a := run.Wait(k.entry.shutdown.ending); a != nil {
+	// The table may drop the answer at once.
+	answered := make(chan *answer.Answer, 1)
+	go k.loop(run, storedClaim, answered)
+	select {
+	case a := <-answered:
 		return a
+	case <-k.entry.shutdown.ending.Done():
+		return k.unknownAnswer(answer.CodeLeaving, "this node shut down while the request was in progress", true)
 	}
-	return k.unknownAnswer(answer.CodeLeaving, "this node shut down while the request was in progress", true)
 }
 
 // loop runs the request and stores its outcome. It does not stop when the caller
 // disconnects, since the outcome of a request that may have started would then
 // stay unknown.
-func (k *keyedRequest) loop(run *claim.Run, storedClaim *claim.Claim) {
+func (k *keyedRequest) loop(run *claim.Run, storedClaim *claim.Claim, answered chan<- *answer.Answer) {
 	k.entry.inProgress.Add(1)
 	defer k.entry.inProgress.Add(-1)
 	a := k.entry.run(context.Background(), k.view, k.kind, k.submission)
 	a.Node = k.entry.config.VM
-	k.entry.runs.Complete(k.Key, run, a)
+	k.entry.runs.Complete(run, a)
+	copied := *a
+	answered <- &copied
 	if storedClaim == nil {
 		return
 	}
@@ -148,12 +158,28 @@
 	if run.Request != requestHash(k.Request) {
 		return k.refuse(refusal{code: answer.CodeKeyReused, message: "the key was used for another request; this one did not run"})
 	}
-	a := run.Wait(ctx)
-	if a == nil {
+	a, ended := run.Wait(ctx)
+	if !ended {
 		return k.unknownAnswer(answer.CodeInProgress, "an earlier request with this key is still in progress", true)
 	}
-	copied := *a
-	return &copied
+	return k.answerOf(run, a)
+}
+
+// answerOf returns the answer of a run that has ended; a is nil if it is not kept any more.
+func (k *keyedRequest) answerOf(run *claim.Run, a *answer.Answer) *answer.Answer {
+	if a != nil {
+		copied := *a
+		return &copied
+	}
+	gone := k.entry.newAnswer(k.view, k.submission)
+	gone.Status = run.Status()
+	gone.Error = &answer.Error{Code: answer.CodeAnswerGone, Message: "the request ended with this status under its key; its answer is no longer kept"}
+	return gone
+}
+
+// noRoom returns why a request is refused while the outcomes of others take the memory.
+func (k *keyedRequest) noRoom() refusal {
+	return refusal{answer.CodeNoMemory, "the memory for outcomes of requests that must not be repeated is in use", true, k.entry.runs.UntilRoom(time.Now())}
 }
 
 // handleCallerKey claims the caller's own key in the platform and runs the request
@@ -164,7 +190,12 @@
 		return k.unknownAnswer(answer.CodeLeaving, "this node is shutting down; this submission did not run the request", true)
 	}
 	run, created := e.runs.Start(time.Now(), k.Key, requestHash(k.Request))
-	if !created {
+	switch {
+	case run == nil && k.FirstUse:
+		return k.refuse(k.noRoom())
+	case run == nil:
+		return k.unknownAnswer(answer.CodeNoMemory, "the memory for outcomes of requests is in use; this submission did not run the request", true)
+	case !created:
 		return k.awaitRun(ctx, run)
 	}
 	storedClaim, err := e.config.Claims.Acquire(ctx, k.Key, requestHash(k.Request))
@@ -174,7 +205,7 @@
 	a := k.answerUnclaimed(ctx, storedClaim, err)
 	// This submission ran nothing, so the next one with the key must ask the
 	// platform again.
-	e.runs.Cancel(k.Key, run, a)
+	e.runs.Cancel(run, a)
 	return a
 }
 
--- a/internal/entry/keyed_test.go
+++ b/internal/entry/keyed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"time"
 
@@ -9,8 +10,10 @@
 
 	"github.com/bronzereach/bronzereach/internal/peer"
 	"github.com/bronzereach/bronzereach/internal/timeline"
+	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/answer"
 	"github.com/bronzereach/bronzereach/pkg/member"
+	"github.com/bronzereach/bronzereach/pkg/memory"
 	"github.com/bronzereach/bronzereach/pkg/query"
 )
 
@@ -42,3 +45,32 @@
 		t.Errorf("%d calls to peers, want none", calls)
 	}
 }
+
+// TestDroppedAnswerIsTold: whoever submits a request that must not be repeated gets its answer,
+// also where none can be kept; a later submission is told that it ran, and does not run it.
+func TestDroppedAnswerIsTold(t *testing.T) {
+	const vm, process = "vm-1", 7
+	recorder := timeline.NewRecorder(vm, logr.Discard())
+	self := member.Member{VM: vm, Incarnation: 1, State: member.Ready, PeerAddress: "127.0.0.1:1"}
+	view := &View{Document: parseOrders(t, time.Second), Self: self, Members: map[string]member.Member{vm: self}}
+	runs := 0
+	e := New(Config{
+		VM: vm, Process: process, Recorder: recorder, Network: peer.NewNetwork(peer.Config{VM: vm, Process: process, Clock: recorder.Clock}),
+		View: func() *View { return view }, ReportFailure: func(string) {}, Direct: true, OutcomeMemory: 4 * memory.Kilobyte,
+		Serve: func(ctx context.Context, batch *wire.Batch, send func(*wire.SubReply)) {
+			runs++
+			serveLong(ctx, batch, send)
+		},
+	})
+	request := query.Request{Kind: "order", Query: query.Text("long"), Key: e.issuer.Issue(time.Now(), 1)[0]}
+	first, second := e.Answer(t.Context(), request), e.Answer(t.Context(), request)
+	if first.Status != answer.RanOnce || len(first.Records) != longRecords {
+		t.Errorf("the first submission got %s with %d records, %+v", first.Status, len(first.Records), first.Error)
+	}
+	if second.Status != answer.RanOnce || second.Error == nil || second.Error.Code != answer.CodeAnswerGone || httpStatus(second) != http.StatusGone {
+		t.Errorf("the second submission got %s, %+v", second.Status, second.Error)
+	}
+	if runs != 1 {
+		t.Errorf("it ran %d times", runs)
+	}
+}
--- a/internal/node/http.go
+++ b/internal/node/http.go
@@ -96,6 +96,10 @@
 			ConstLabels: prometheus.Labels{"cause": cause},
 		}, func() float64 { return float64(count()) }))
 	}
+	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "bronzereach_run_outcomes_bytes",
+		Help: "Memory that the outcomes of requests that must not be repeated take.",
+	}, func() float64 { return float64(n.entry.OutcomeBytes()) }))
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "bronzereach_config_version",
 		Help: "Version of the configuration applied on this node.",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -216,6 +216,7 @@
 		ReportFailure: n.control.reportFailedCall,
 		Direct:        n.options.Mode == gate.Direct,
 		Memory:        n.memory,
+		OutcomeMemory: memory.OutcomeLimit(n.memoryLimit),
 	})
 	n.registry = prometheus.NewRegistry()
 	n.registerMetrics()
--- a/pkg/answer/answer.go
+++ b/pkg/answer/answer.go
@@ -52,6 +52,8 @@
 	CodeTruncated      Code = "replyTruncated"
 	CodeMismatch       Code = "replyMismatch"
 	CodeLeaving        Code = "leaving"
+	// CodeAnswerGone means that the request has run and its answer is no longer kept.
+	CodeAnswerGone Code = "answerGone"
 	// CodeNoMemory means that others held the memory for requests or replies.
 	CodeNoMemory Code = "noMemory"
 	CodeInternal Code = "internal"
--- a/pkg/memory/limit.go
+++ b/pkg/memory/limit.go
@@ -25,6 +25,9 @@
 	// connectionBytes what one of them needs.
 	connectionsShare = 0.15
 	connectionBytes  = 16 * Kilobyte
+	// outcomeShare is the share of the memory for the outcomes of requests that must not be
+	// repeated. They are kept for long, so that no garbage comes with them.
+	outcomeShare = 0.15
 )
 
 // HeapLimit returns the soft limit of the heap for a process with the memory.
@@ -51,6 +54,12 @@
 	return int(connectionsShare * float64(limit) / float64(connectionBytes))
 }
 
+// OutcomeLimit returns how much memory of the process the outcomes of requests that must not be
+// repeated may take; 0 if its memory is not known.
+func OutcomeLimit(limit Bytes) Bytes {
+	return Bytes(outcomeShare * float64(limit))
+}
+
 // groupLimitFile holds the memory limit of the process's control group, if it has one.
 const groupLimitFile = "/sys/fs/cgroup/memory.max"
 
