Parts of an answer wait for those that are being encoded

Cause: the memory was held by answers that were just being encoded; those can't give way, and who finds nobody that does was denied at once, although they end in milliseconds and its own work was done. The parts that wait so long are not counted, which the admission of requests bounds; the heap test covers them.

TestFinishedWorkWaitsForOthers (new).

--- a/internal/entry/memory.go
+++ b/internal/entry/memory.go
@@ -55,6 +55,7 @@
 		Kind:      memory.Replies,
 		Urgent:    s.kind.Rank == 0,
 		Essential: !s.kind.Repeatable,
+		Finished:  true,
 	})
 }
 
--- a/pkg/memory/account_test.go
+++ b/pkg/memory/account_test.go
@@ -289,3 +289,21 @@
 		}
 	})
 }
+
+// TestFinishedWorkWaitsForOthers: a lease for a result that is ready gets the bytes of one that
+// can't give way and ends soon; another lease is denied at once.
+func TestFinishedWorkWaitsForOthers(t *testing.T) {
+	a := NewAccount(Megabyte)
+	first := a.Open(Holder{Kind: Replies})
+	if err := first.Reserve(400*Kilobyte, time.Now()); err != nil {
+		t.Fatal(err)
+	}
+	deadline := time.Now().Add(5 * time.Second)
+	if err := a.Open(Holder{Kind: Replies}).Reserve(400*Kilobyte, deadline); !errors.Is(err, ErrExhausted) {
+		t.Errorf("another lease: %v", err)
+	}
+	time.AfterFunc(reclaimTime/5, first.Close)
+	if err := a.Open(Holder{Kind: Replies, Finished: true}).Reserve(400*Kilobyte, deadline); err != nil {
+		t.Errorf("a finished one: %v", err)
+	}
+}
--- a/pkg/memory/lease.go
+++ b/pkg/memory/lease.go
@@ -15,6 +15,9 @@
 	Urgent bool
 	// Essential leases never give way, and wait for bytes as long as they may.
 	Essential bool
+	// Finished leases are for results of work that is done. They wait for bytes for a while
+	// also if nobody gives way, as others are about to finish too.
+	Finished bool
 }
 
 // WithGroups returns the holder with other groups.
@@ -117,7 +120,7 @@
 	if l.revoked || l.closed {
 		return false
 	}
-	return l.account.giveWay(l, count, short, now) || l.holder.Essential || l.waitsForRevoked(short)
+	return l.account.giveWay(l, count, short, now) || l.holder.Essential || l.holder.Finished || l.waitsForRevoked(short)
 }
 
 // waitsForRevoked reports whether a lease that was told to give way would help this one.
