A run that ends as its node does is answered; comments rewrapped

If a keyed request's run and its node ended at the same moment, the answer or "unknown" was told by chance, as select takes either of two cases. Change: the answer, if there is one. Found by reading the diff; the race is a few microseconds wide, so there is no test that shows it. Comments that were longer than a line are wrapped.

--- a/internal/entry/keyed.go
+++ b/internal/entry/keyed.go
@@ -128,6 +128,12 @@
 	case a := <-answered:
 		return a
 	case <-k.entry.shutdown.ending.Done():
+	}
+	// Both may be over.
+	select {
+	case a := <-answered:
+		return a
+	default:
 		return k.unknownAnswer(answer.CodeLeaving, "this node shut down while the request was in progress", true)
 	}
 }
--- a/internal/load/slowcaller.go
+++ b/internal/load/slowcaller.go
@@ -23,7 +23,7 @@
 	StallHead Stall = "head"
 	// StallBody sends all but the end of the longest body.
 	StallBody Stall = "body"
-	// StallAnswer sends a whole request and reads nothing of its answer.
+	// StallAnswer sends a whole request and reads hardly any of its answer.
 	StallAnswer Stall = "answer"
 )
 
@@ -32,7 +32,7 @@
 	slowCallerPause = 500 * time.Millisecond
 	// slowCallerDialTimeout bounds the time to connect to a node.
 	slowCallerDialTimeout = time.Second
-	// slowCallerBuffer is the size of the receive buffer of a caller that reads nothing.
+	// slowCallerBuffer is the size of the receive buffer of a slow caller.
 	slowCallerBuffer = 4 << 10
 )
 
@@ -125,7 +125,7 @@
 		return
 	}
 	defer conn.Close()
-	// Errors of both show up in the write.
+	// Errors of these calls show up in the write.
 	_ = conn.(*net.TCPConn).SetReadBuffer(slowCallerBuffer)
 	_ = conn.SetDeadline(until)
 	if _, err := io.WriteString(conn, c.request); err != nil {
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -24,7 +24,8 @@
 }
 
 // Admit takes the memory that a request of the caller, an IP address, needs besides its body.
-// It returns a refusal if there is none. In any case the request must be released once its answer has been written.
+// It returns a refusal if there is none. In any case the request must be released once its
+// answer has been written.
 func (r *Relay) Admit(request *Request, caller string) *Answer {
 	if r.config.Memory == nil {
 		return nil
--- a/pkg/memory/account.go
+++ b/pkg/memory/account.go
@@ -236,9 +236,10 @@
 	}
 }
 
-// giveWay revokes the lease that should give way to another one that was denied bytes: one that has made no progress for stallTime, or else one of the upstream or
-// caller that holds the most, if that is more than the other one would hold then. It
-// reports whether there is one. The caller holds mu.
+// giveWay revokes the lease that should give way to another one that was denied bytes: one
+// that has made no progress for stallTime, or else one of the upstream or caller that holds
+// the most, if that is more than the other one would hold then. It reports whether there is
+// one. The caller holds mu.
 func (a *Account) giveWay(l *Lease, count Bytes, short shortage, now time.Time) bool {
 	var stalled, greedy *Lease
 	most := a.groups[l.holder.party()].held + count
