The stand-ins' endless replies take no memory in nodes

Cause: the load tool's stalled reply of 4 MiB was a package variable of the stand-ins, made when the program starts, in nodes too; building it took several copies. Change: the bytes of a stalled reply are made when they are sent.

--- a/internal/standin/endless.go
+++ b/internal/standin/endless.go
@@ -35,9 +35,11 @@
 
 // endlessReply is a reply without an end.
 type endlessReply struct {
-	// start comes first, and then blocks of unit without an end; only once if it is empty.
+	// start comes first, and then blocks of unit.
 	start string
 	unit  string
+	// stallsAfter is how many bytes of the blocks are sent; 0 for no end.
+	stallsAfter int
 }
 
 const endlessStatus = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
@@ -49,7 +51,7 @@
 	EndlessInterim:        {unit: "HTTP/1.1 103 Early Hints\r\n\r\n"},
 	EndlessChunkExtension: {start: endlessStatus + "Transfer-Encoding: chunked\r\n\r\n10;x=", unit: "a"},
 	EndlessTrailers:       {start: endlessStatus + "Transfer-Encoding: chunked\r\n\r\n0\r\n", unit: "X-Endless: a\r\n"},
-	EndlessWait:           {start: endlessStatus + fmt.Sprintf("Content-Length: %d\r\n\r\n%s", announcedBytes, bytes.Repeat([]byte(" "), announcedBytes-1))},
+	EndlessWait:           {start: endlessStatus + fmt.Sprintf("Content-Length: %d\r\n\r\n", announcedBytes), unit: " ", stallsAfter: announcedBytes - 1},
 	EndlessSurplus:        {start: endlessStatus + "Content-Length: 2\r\n\r\n{}", unit: "surplus "},
 }
 
@@ -74,11 +76,16 @@
 	if _, err := io.WriteString(conn, r.start); err != nil {
 		return
 	}
-	if r.unit == "" {
+	block := bytes.Repeat([]byte(r.unit), endlessBlockBytes/len(r.unit))
+	if r.stallsAfter > 0 {
+		for left := r.stallsAfter; left > 0; left -= len(block) {
+			if _, err := conn.Write(block[:min(len(block), left)]); err != nil {
+				return
+			}
+		}
 		_, _ = io.Copy(io.Discard, conn)
 		return
 	}
-	block := bytes.Repeat([]byte(r.unit), endlessBlockBytes/len(r.unit))
 	for {
 		if _, err := conn.Write(block); err != nil {
 			return
