An answer without counted replies is delivered without work on leases

Change: only leases of replies take part in a delivery, in place.

TestUnreadAnswersTakeNoMemoryFromOthers, its sister and the entry's test pass with the race detector.

--- a/pkg/memory/scope.go
+++ b/pkg/memory/scope.go
@@ -1,7 +1,6 @@
 package memory
 
 import (
-	"slices"
 	"sync"
 	"sync/atomic"
 )
@@ -60,44 +59,38 @@
 
 // ShrinkReplies lets each lease of a reply keep no more than the count.
 func (s *Scope) ShrinkReplies(count Bytes) {
-	for _, l := range s.all() {
-		if l.Kind() == Replies {
-			l.Shrink(count)
-		}
-	}
+	s.eachReply(func(l *Lease) { l.Shrink(count) })
 }
 
 // Deliver lets the group, the caller that gets the answer, answer for the replies from now on.
-// end ends the delivery if the leases must give way to others.
+// end ends the delivery if they must give way to others.
 func (s *Scope) Deliver(to Group, end func()) {
-	for _, l := range s.all() {
-		if l.Kind() == Replies {
-			l.Transfer(to)
-		}
+	s.eachReply(func(l *Lease) {
+		l.Transfer(to)
 		l.OnRevoke(end)
-	}
+	})
 }
 
 // Progressed records that the delivery has made progress.
 func (s *Scope) Progressed() {
-	for _, l := range s.all() {
-		l.Progressed()
-	}
+	s.eachReply((*Lease).Progressed)
 }
 
 // Delivered ends the delivery.
 func (s *Scope) Delivered() {
-	for _, l := range s.all() {
-		l.OnRevoke(nil)
-	}
+	s.eachReply(func(l *Lease) { l.OnRevoke(nil) })
 }
 
-// all returns the leases of the scope.
-func (s *Scope) all() []*Lease {
+// eachReply calls the function with each lease of a reply.
+func (s *Scope) eachReply(apply func(*Lease)) {
 	if s == nil {
-		return nil
+		return
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return slices.Clone(s.leases)
+	for _, l := range s.leases {
+		if l.Kind() == Replies {
+			apply(l)
+		}
+	}
 }
