--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -108,7 +108,7 @@
 	a.lease = *a.service.relay.config.Memory.Open(memory.Holder{
 		Kind:      memory.Replies,
 		Groups:    a.upstreamReplica.Data.groups,
-		Urgent:    a.request.Route.Rank == 0,
+		Urgent:    a.request.Rank() == 0,
 		Essential: !a.request.Route.Idempotent,
 	})
 }
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -30,6 +30,11 @@
 	// NoDeadline is true if the caller stated no deadline. Deadline is then set by
 	// the relay.
 	NoDeadline bool
+	// Key is the key that the caller sent; empty if it sent none. It is a secret of the
+	// caller and leaves the node in no form.
+	Key string
+	// Team is the team that holds the key, set by the relay; nil if callers need none.
+	Team *route.Team
 	// Route, prepared and timeSpent are set by the relay. timeSpent is how much of
 	// the objective the caller had spent before the request arrived.
 	Route     *route.Route
@@ -65,6 +70,15 @@
 	return answerDeadline
 }
 
+// Rank returns the priority of the request: that of its team, or else of its route. 0 is
+// the most urgent.
+func (r *Request) Rank() int {
+	if r.Team != nil && r.Team.Ranked {
+		return r.Team.Rank
+	}
+	return r.Route.Rank
+}
+
 // RunStatus tells whether an upstream ran an attempt or a request.
 type RunStatus uint8
 
--- a/internal/relay/outlook.go
+++ b/internal/relay/outlook.go
@@ -50,7 +50,7 @@
 	services := make([]availability, 0, len(f.shards))
 	for i := range f.shards {
 		if s := f.shards[i].service; s != nil {
-			services = append(services, s.availability(now, f.request.Route.Rank))
+			services = append(services, s.availability(now, f.request.Rank()))
 		}
 	}
 	return newOutlook(services, f.plan.requiredShards, f.plan.grantBy().Sub(now), f.plan.retryAfter)
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -105,7 +105,7 @@
 		return reservation{refused: s.unusableReason(now)}
 	}
 	// Others may have taken the turns that were left when availability was asked for.
-	position := s.countWaiters(w.forwarder.request.Route.Rank)
+	position := s.countWaiters(w.forwarder.request.Rank())
 	if late := s.lateBy(now, w, position); late > 0 {
 		return reservation{refused: ReasonRateLimited, retryAfter: late}
 	}
@@ -300,7 +300,7 @@
 // countWaiters returns how many waiters go before a new one of the rank.
 func (s *service) countWaiters(rank int) int {
 	count := len(s.waiting)
-	for count > 0 && s.waiting[count-1].forwarder.request.Route.Rank > rank {
+	for count > 0 && s.waiting[count-1].forwarder.request.Rank() > rank {
 		count--
 	}
 	return count
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -43,6 +43,8 @@
 	Shards []string
 	// Top is the maximum number of records of a merged answer.
 	Top int
+	// Public is true if callers need no key.
+	Public bool
 	// MinimumShardShare is the fraction of the shards, from 0 to 1, that a
 	// successful answer needs.
 	MinimumShardShare float64
@@ -113,6 +115,8 @@
 	Routes   []Route
 	Services []Service
 	Limits   Limits
+	// Teams are the teams that may send requests; empty if callers need no keys.
+	Teams []Team
 }
 
 // Table is one version of the routing table. It is immutable. A nil Table has
@@ -128,6 +132,7 @@
 	usedServices []string
 	shards       []string
 	routeNames   []string
+	teams        teams
 }
 
 // NewTable returns the table of a configuration.
@@ -137,6 +142,7 @@
 		limits:   config.Limits,
 		services: make(map[string]Service, len(config.Services)),
 		hosts:    map[string]map[string]*Route{},
+		teams:    newTeams(config.Teams),
 	}
 	for _, s := range config.Services {
 		t.services[s.Name] = s
