Connections without a hello make room in the order of their arrival

The accept loop takes the place now.

It reads them side by side now; its bound and time are as they were.

--- a/internal/peer/handshakes_test.go
+++ b/internal/peer/handshakes_test.go
@@ -4,6 +4,8 @@
 	"errors"
 	"io"
 	"net"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -33,16 +35,22 @@
 	if _, err := NewNetwork(testConfig("vm-2", nil)).CallUnary(t.Context(), "vm-1", listener.Addr().String(), &wire.Call{}); err != nil {
 		t.Errorf("a member didn't get through: %v", err)
 	}
-	open := 0
+	// The connections are read side by side: one that is open is read until the deadline, after
+	// which a read from one that was closed would end like a timeout.
+	var readers sync.WaitGroup
+	var open atomic.Int64
 	until := time.Now().Add(handshakeTimeout / 4)
 	for _, conn := range conns {
 		_ = conn.SetReadDeadline(until)
-		if _, err := io.Copy(io.Discard, conn); isTimeout(err) {
-			open++
-		}
+		readers.Go(func() {
+			if _, err := io.Copy(io.Discard, conn); isTimeout(err) {
+				open.Add(1)
+			}
+		})
 	}
-	if open > maximum {
-		t.Errorf("%d silent connections are open, %d are allowed", open, maximum)
+	readers.Wait()
+	if count := open.Load(); count > maximum {
+		t.Errorf("%d silent connections are open, %d are allowed", count, maximum)
 	}
 }
 
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"container/list"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -127,12 +128,13 @@
 		case err != nil:
 			return errors.WithStack(err)
 		}
-		go n.accept(ctx, conn)
+		// The oldest connections make room, so the order is that of their arrival.
+		go n.accept(ctx, conn, n.handshakes.begin(conn))
 	}
 }
 
-func (n *Network) accept(ctx context.Context, conn net.Conn) {
-	position := n.handshakes.begin(conn)
+// accept makes a link of a connection whose position among the handshakes is given.
+func (n *Network) accept(ctx context.Context, conn net.Conn, position *list.Element) {
 	if n.config.TLS != nil {
 		conn = tls.Server(conn, n.config.TLS)
 	}
