A query waits for shards that shed instead of failing at once

A shard whose second and third replica shed too, or had no free capacity, was given up at once, and a second such shard ended the query; the caller came back and all shards worked again.

Change: such a shard is tried again after 8 ms, 16, 32 and 64, while the answer can still matter and an upstream of it may be used; replicas that did not run the request may be tried again. Each retry is paid for from the retry budget. Requests to a single service are refused as before: nothing is lost when their caller turns elsewhere.

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -47,7 +47,9 @@
 	service       *service
 	name          string
 	triedReplicas []*upstreamReplica
-	running       []*attempt
+	// ranReplicas holds those of them that have run the request or may have.
+	ranReplicas []*upstreamReplica
+	running     []*attempt
 	// countedAttempts counts attempts except those that did not run.
 	countedAttempts int
 	waiting         bool
@@ -57,6 +59,7 @@
 	// retryDenied is why the shard was refused a further attempt; empty if it was
 	// not.
 	retryDenied Reason
+	shedRetry   shedRetry
 }
 
 func (r *Relay) newForwarder(request *Request, s *routingState) *forwarder {
@@ -65,7 +68,7 @@
 		relay:         r,
 		request:       request,
 		shards:        make([]shardState, len(names)),
-		events:        make(chan forwarderEvent, len(names)*(request.Route.Attempts+maxExtraAttempts+1)),
+		events:        make(chan forwarderEvent, len(names)*(request.Route.Attempts+maxExtraAttempts+maxShedRetries+1)),
 		pendingShards: len(names),
 	}
 	for i, name := range names {
@@ -93,10 +96,11 @@
 	defer timer.Stop()
 	for {
 		now := time.Now()
+		f.retryShed(now)
 		if f.isComplete(now) {
 			return f.buildAnswer(now)
 		}
-		wakeup := f.plan.nextWakeup(now)
+		wakeup := f.nextShedRetry(f.plan.nextWakeup(now))
 		timer.Reset(wakeup.Sub(now))
 		select {
 		case e := <-f.events:
@@ -195,11 +199,16 @@
 	}
 	if e.run == NotRun {
 		s.countedAttempts--
+	} else {
+		s.ranReplicas = append(s.ranReplicas, e.attempt.upstreamReplica)
 	}
 	s.reason = e.reason
 	if f.retry(e.shard, e.run) || len(s.running) > 0 {
 		return
 	}
+	if f.deferRetry(s) {
+		return
+	}
 	f.settle(s, nil, e.reason)
 }
 
