Queries survive upstreams that break off replies; paused replicas are probed

Change: a shard whose replies were broken off, were not valid or were failures is tried again later like one that was shed, within the retry budget. Once as many upstreams as the route allows have run the request, only those are asked again. If no replica of a service may be used, one that is paused after failures gets one attempt at a time, 25 ms apart; a success ends the pause.

--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bronzereach/bronzereach/pkg/budget"
@@ -47,7 +48,7 @@
 	service       *service
 	name          string
 	triedReplicas []*upstreamReplica
-	// ranReplicas holds those of them that have run the request or may have.
+	// ranReplicas holds those of them that have run the request or may have; each once.
 	ranReplicas []*upstreamReplica
 	running     []*attempt
 	// countedAttempts counts attempts except those that did not run.
@@ -59,7 +60,7 @@
 	// retryDenied is why the shard was refused a further attempt; empty if it was
 	// not.
 	retryDenied Reason
-	shedRetry   shedRetry
+	laterRetry  laterRetry
 }
 
 func (r *Relay) newForwarder(request *Request, s *routingState) *forwarder {
@@ -68,7 +69,7 @@
 		relay:         r,
 		request:       request,
 		shards:        make([]shardState, len(names)),
-		events:        make(chan forwarderEvent, len(names)*(request.Route.Attempts+maxExtraAttempts+maxShedRetries+1)),
+		events:        make(chan forwarderEvent, len(names)*(request.Route.Attempts+maxExtraAttempts+maxLaterRetries+1)),
 		pendingShards: len(names),
 	}
 	for i, name := range names {
@@ -96,11 +97,11 @@
 	defer timer.Stop()
 	for {
 		now := time.Now()
-		f.retryShed(now)
+		f.retryLater(now)
 		if f.isComplete(now) {
 			return f.buildAnswer(now)
 		}
-		wakeup := f.nextShedRetry(f.plan.nextWakeup(now))
+		wakeup := f.nextLaterRetry(f.plan.nextWakeup(now))
 		timer.Reset(wakeup.Sub(now))
 		select {
 		case e := <-f.events:
@@ -199,14 +200,14 @@
 	}
 	if e.run == NotRun {
 		s.countedAttempts--
-	} else {
+	} else if !slices.Contains(s.ranReplicas, e.attempt.upstreamReplica) {
 		s.ranReplicas = append(s.ranReplicas, e.attempt.upstreamReplica)
 	}
 	s.reason = e.reason
 	if f.retry(e.shard, e.run) || len(s.running) > 0 {
 		return
 	}
-	if f.deferRetry(s) {
+	if f.planLaterRetry(s) {
 		return
 	}
 	f.settle(s, nil, e.reason)
--- a/internal/relay/shedretry_test.go
+++ b/internal/relay/laterretry_test.go
@@ -5,16 +5,16 @@
 	"time"
 )
 
-// TestShedRetriesAreBounded guards against a query that goes on asking overloaded upstreams:
+// TestLaterRetriesAreBounded guards against a query that goes on asking overloaded upstreams:
 // a shard gets a bounded number of retries, further and further apart, and none that would
 // come after the request is given up.
-func TestShedRetriesAreBounded(t *testing.T) {
+func TestLaterRetriesAreBounded(t *testing.T) {
 	start := time.Now()
 	for _, test := range []struct {
 		left time.Duration
 		want int
-	}{{time.Second, maxShedRetries}, {firstShedDelay * 4, 2}, {firstShedDelay / 2, 0}} {
-		r, now, count := shedRetry{}, start, 0
+	}{{time.Second, maxLaterRetries}, {firstRetryDelay * 4, 2}, {firstRetryDelay / 2, 0}} {
+		r, now, count := laterRetry{}, start, 0
 		last := time.Duration(0)
 		for r.planNext(now, start.Add(test.left)) {
 			delay := r.at.Sub(now)
--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -166,7 +166,7 @@
 // Choose returns the available replica with the lowest expected cost that is
 // not in excluded, or nil if there is none. Replicas that are much slower than
 // the others, or that shed a request recently, are used only if there is no
-// other.
+// other, and those that are paused after failures only for the probes of first attempts.
 func (g *Group[C]) Choose(now time.Time, excluded []*Replica[C], random *rand.Rand) *Replica[C] {
 	if len(g.replicas) == 0 {
 		return nil
@@ -191,7 +191,10 @@
 		}
 	}
 	if best == nil {
-		return fallback
+		best = fallback
+	}
+	if best == nil && len(excluded) == 0 {
+		best = g.Probe(now, nil)
 	}
 	return best
 }
@@ -252,8 +255,8 @@
 	return replica.state.slow && now.Sub(replica.state.lastUsed) < probeInterval
 }
 
-// CountUsable returns the number of replicas that may get attempts, and the time
-// until the first of the others may get attempts again; 0 if none of them will.
+// CountUsable returns the number of replicas that may get attempts, a probe counted as
+// one, and the time until the first of the others may get attempts again; 0 if none of them will.
 func (g *Group[C]) CountUsable(now time.Time) (count int, wait time.Duration) {
 	for _, replica := range g.replicas {
 		if replica.state.usable(now) {
@@ -264,6 +267,9 @@
 			wait = remaining
 		}
 	}
+	if count == 0 && g.Probe(now, nil) != nil {
+		count = 1
+	}
 	return count, wait
 }
 
@@ -314,7 +320,7 @@
 	switch outcome {
 	case Succeeded:
 		state.failures, state.sheds = 0, 0
-		replica.shedUntil = time.Time{}
+		state.downUntil, replica.shedUntil = time.Time{}, time.Time{}
 		state.recordLatency(took, g.median)
 		state.limit = min(float64(g.connections), state.limit+limitIncrease*float64(g.connections))
 	case Abandoned:
