The relay checks the keys of teams

Cause: with teams in the table, a request on a route that is not public needs a key, and without one must cost nothing.

Admit answers so before it takes memory or the body is read, and answer() again if the table has changed since. With teams, a request without a route is answered by Admit too, or callers without a key could make the node hold bodies. Admit's priority is that of the team. The log line requestAnswered gains team; no metric gains a label.

Tested: go test -race ./internal/relay passes.

--- a/internal/relay/answerlog.go
+++ b/internal/relay/answerlog.go
@@ -72,7 +72,7 @@
 	if request.Route != nil {
 		name = request.Route.Name
 	}
-	r.config.Log.Info("requestAnswered", "requestID", request.ID, "route", name, "host", request.Host,
+	r.config.Log.Info("requestAnswered", "requestID", request.ID, "route", name, "host", request.Host, "team", request.teamName(),
 		"configVersion", answer.ConfigVersion, "outcome", answer.Outcome.String(), "reason", string(answer.Reason),
 		"run", answer.Run.String(), "parts", len(answer.Parts), "omitted", formatOmissions(answer.Omitted),
 		"attempts", answer.Attempts, "tookMs", elapsed.Milliseconds(), "spentMs", request.timeSpent.Milliseconds(),
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -24,18 +24,22 @@
 }
 
 // Admit takes the memory that a request of the caller, an IP address, needs besides its body.
-// It returns a refusal if there is none. In any case the request must be released once its
-// answer has been written.
+// It returns a refusal if there is none, and the answer if the table has teams and the caller
+// no valid key. In any case the request must be released once its answer has been written.
 func (r *Relay) Admit(request *Request, caller string) *Answer {
+	request.match(r.Table())
+	if answer := request.refuseUnread(); answer != nil {
+		request.setDefaultDeadline()
+		r.recordAnswer(request, answer)
+		return answer
+	}
 	if r.config.Memory == nil {
 		return nil
 	}
 	needed, urgent := memory.RequestBytes+attemptBytes, false
-	request.table = r.Table()
-	request.Route = request.table.Match(request.Host, request.Path)
 	if matched := request.Route; matched != nil {
 		needed = memory.RequestBytes + attemptBytes*memory.Bytes(max(len(matched.Shards), 1))
-		urgent = matched.Rank == 0
+		urgent = request.Rank() == 0
 	}
 	request.caller = caller
 	request.scope = memory.NewScope()
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -58,6 +58,13 @@
 	Body memory.Buffer
 }
 
+// setDefaultDeadline sets the deadline of a caller that has stated none.
+func (r *Request) setDefaultDeadline() {
+	if r.Deadline.IsZero() {
+		r.Deadline, r.NoDeadline = r.Received.Add(defaultDeadline), true
+	}
+}
+
 // answerDeadline returns the earlier of the caller's deadline and the route's
 // timeout.
 func (r *Request) answerDeadline() time.Time {
@@ -164,6 +171,8 @@
 	Malformed
 	// NoRoute means that the configuration has no route for the request.
 	NoRoute
+	// Unauthorized means that the request has no key of a team and its route needs one.
+	Unauthorized
 	// Failed means that attempts were made and none gave an answer.
 	Failed
 	// TimedOut means that the deadline passed before there was an answer.
@@ -174,7 +183,7 @@
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"answered", "merged", "refused", "malformed", "noRoute", "failed", "timedOut", "left"}[o]
+	return [...]string{"answered", "merged", "refused", "malformed", "noRoute", "unauthorized", "failed", "timedOut", "left"}[o]
 }
 
 // Reason is a one-word reason why a request or a shard has no answer.
@@ -184,6 +193,7 @@
 const (
 	ReasonNoConfig     Reason = "noConfig"
 	ReasonNoRoute      Reason = "noRoute"
+	ReasonUnknownKey   Reason = "unknownKey"
 	ReasonMalformed    Reason = "malformed"
 	ReasonNoUpstream   Reason = "noUpstream"
 	ReasonBackingOff   Reason = "backingOff"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -365,10 +365,7 @@
 func (r *Relay) Do(ctx context.Context, request *Request) *Answer {
 	r.inProgress.Add(1)
 	defer r.inProgress.Add(-1)
-	if request.Deadline.IsZero() {
-		request.Deadline = request.Received.Add(defaultDeadline)
-		request.NoDeadline = true
-	}
+	request.setDefaultDeadline()
 	answer := r.answer(ctx, request)
 	r.recordAnswer(request, answer)
 	return answer
@@ -379,12 +376,12 @@
 	if s.table == nil {
 		return refusal(ReasonNoConfig, notReadyRetryAfter)
 	}
-	if request.table != s.table {
-		request.table, request.Route = s.table, s.table.Match(request.Host, request.Path)
+	request.match(s.table)
+	if answer := request.refuseUnmatched(); answer != nil {
+		return answer
 	}
-	matched := request.Route
-	if matched == nil {
-		return &Answer{Outcome: NoRoute, Reason: ReasonNoRoute, Run: NotRun, ConfigVersion: s.table.Version()}
+	if answer := request.refuseUnauthorized(); answer != nil {
+		return answer
 	}
 	if answer := r.refuseLeaving(request); answer != nil {
 		answer.ConfigVersion = s.table.Version()
@@ -399,7 +396,7 @@
 	f := r.newForwarder(request, s)
 	answer := f.run(ctx)
 	if now := time.Now(); answer.Run == Ran && answer.Outcome != CallerDisconnected {
-		r.answerTimes.add(matched.Name, now, now.Sub(request.Received))
+		r.answerTimes.add(request.Route.Name, now, now.Sub(request.Received))
 	}
 	answer.ConfigVersion = s.table.Version()
 	return answer
