The credits of a queue's floors stand on their own

The users' path needs floors for less urgent ranks too, but not the queue that they were part of: its waiters are ordered by team and skipped when late. Change: queue.Credits, moved out of Queue without a change of what it decides. The tests of pkg/queue and internal/gate pass unchanged.

--- a/pkg/queue/queue.go
+++ b/pkg/queue/queue.go
@@ -12,9 +12,6 @@
 	"time"
 )
 
-// maxCredit is the maximum number of starts that a rank can be owed.
-const maxCredit = 3.0
-
 // Item is one waiting request.
 type Item[T any] struct {
 	// Rank is the priority class; 0 is the most urgent.
@@ -32,14 +29,12 @@
 
 // Queue holds waiting items. It is not safe for concurrent use.
 type Queue[T any] struct {
-	floors []float64
 	// started is read with the steady clock only, as the order must not follow the time
 	// of day.
 	started time.Time
 	// ranks has one heap per rank.
-	ranks []deadlineHeap[T]
-	// credits is the number of starts that each rank is owed by its floor.
-	credits []float64
+	ranks   []deadlineHeap[T]
+	credits Credits
 	// waiting is the number of waiting items by caller.
 	waiting map[string]int
 	size    int
@@ -55,10 +50,9 @@
 // New returns an empty queue.
 func New[T any](config Config) *Queue[T] {
 	return &Queue[T]{
-		floors:  config.Floors,
 		started: time.Now(),
 		ranks:   make([]deadlineHeap[T], len(config.Floors)),
-		credits: make([]float64, len(config.Floors)),
+		credits: NewCredits(config.Floors),
 		waiting: map[string]int{},
 	}
 }
@@ -106,7 +100,7 @@
 	if rank < 0 {
 		return nil, false
 	}
-	q.updateCredits(rank)
+	q.credits.Serve(rank, q.waits)
 	item = heap.Pop(&q.ranks[rank]).(*Item[T])
 	q.markRemoved(item)
 	return item, true
@@ -142,44 +136,13 @@
 	}
 }
 
-// nextRank returns the rank to serve, or -1 if the queue is empty. This is the most
-// urgent rank with waiting items, unless a less urgent one with waiting items has
-// a credit of at least one start. Of several such ranks the one with the highest
-// credit is served, and on a tie the most urgent of them.
+// nextRank returns the rank to serve, or -1 if the queue is empty.
 func (q *Queue[T]) nextRank() int {
-	urgent, owed := -1, -1
-	for rank := range q.ranks {
-		if len(q.ranks[rank]) == 0 {
-			continue
-		}
-		if urgent < 0 {
-			urgent = rank
-			continue
-		}
-		if q.credits[rank] >= 1 && (owed < 0 || q.credits[rank] > q.credits[owed]) {
-			owed = rank
-		}
-	}
-	if owed >= 0 {
-		return owed
-	}
-	return urgent
-}
-
-// updateCredits accounts for a start of the served rank. The credit of each rank
-// with waiting items grows by its floor, up to maxCredit, and the served rank
-// pays one start, down to zero: starts beyond its floor are not charged. A rank
-// without waiting items loses its credit. It is called before the item to start
-// is removed.
-func (q *Queue[T]) updateCredits(served int) {
-	for rank := range q.credits {
-		if len(q.ranks[rank]) == 0 {
-			q.credits[rank] = 0
-			continue
-		}
-		q.credits[rank] = min(maxCredit, q.credits[rank]+q.floors[rank])
-	}
-	q.credits[served] = max(0, q.credits[served]-1)
+	return q.credits.Next(q.waits)
+}
+
+func (q *Queue[T]) waits(rank int) bool {
+	return len(q.ranks[rank]) > 0
 }
 
 // deadlineHeap is a min-heap of items by order.
