Teams share the replicas' free slots

Callers saw (in the new tests): in a flood of twice the capacity by one team, one in five of its queries over 36 shards was answered and the others took replicas for nothing; nothing but the rank ordered the teams.

Cause: waiters were ordered by rank and arrival at each service alone, and only rate limits told that a turn comes too late. Change, only for configurations with teams: waiters are ordered by rank, then by the request's tag, the same at all services that routes use together; less urgent ranks that wait get one grant in 20; a query that too few services can take by the forecast is refused whole (overloaded) before any part takes a slot; a query that has a replica somewhere is not overtaken elsewhere for being late; of waiters that are all late, those of the team with the fewest go first. Once a backlog has lasted as long as a request has time, its turn must come within half of that: at the limit itself, queries get some replicas in time and others not.

--- a/internal/relay/answerlog.go
+++ b/internal/relay/answerlog.go
@@ -118,6 +118,9 @@
 	undelivered prometheus.Counter
 	// unused counts the upstreams that get nothing, by cause.
 	unused *prometheus.GaugeVec
+	// forecastRefusals counts requests refused as their turn would come too late, by whose
+	// waiters were ahead.
+	forecastRefusals *prometheus.CounterVec
 }
 
 func newMetrics() *Metrics {
@@ -155,12 +158,16 @@
 			Name: "bronzereach_relay_unused_upstreams",
 			Help: "Registered upstreams that get no attempts of this node, by cause.",
 		}, []string{"cause"}),
+		forecastRefusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "bronzereach_relay_forecast_refusals_total",
+			Help: "Requests refused because their turn would come too late, by whose waiters were ahead.",
+		}, []string{"reason"}),
 	}
 }
 
 // Collectors returns the collectors to register.
 func (m *Metrics) Collectors() []prometheus.Collector {
-	return []prometheus.Collector{m.answers, m.attempts, m.rateLimited, m.bytes, m.latency, m.omitted, m.undelivered, m.unused}
+	return []prometheus.Collector{m.answers, m.attempts, m.rateLimited, m.bytes, m.latency, m.omitted, m.undelivered, m.unused, m.forecastRefusals}
 }
 
 func (m *Metrics) countAnswer(answer *Answer, elapsed time.Duration) {
--- a/internal/relay/forwarder.go
+++ b/internal/relay/forwarder.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/bronzereach/bronzereach/pkg/budget"
+	"github.com/bronzereach/bronzereach/pkg/fairness"
 )
 
 const (
@@ -39,6 +41,16 @@
 	lastFailure *Reply
 	// retryAfter is the retry delay told to the caller if the request is refused.
 	retryAfter time.Duration
+	// hasTeams is true if the configuration has teams, among which capacity is shared. tag
+	// is then the request's position within its rank, and early is true if its caller
+	// returned before the time it had been told.
+	hasTeams bool
+	tag      fairness.Tag
+	early    bool
+	// waited is true once a shard has been queued.
+	waited bool
+	// granted is true once a service has granted a replica to one of the shards.
+	granted atomic.Bool
 }
 
 // shardState is the state of one service that a forwarder sends to. A request to
@@ -67,6 +79,7 @@
 		shards:        make([]shardState, len(names)),
 		events:        make(chan forwarderEvent, len(names)*(request.Route.Attempts+maxExtraAttempts+1)),
 		pendingShards: len(names),
+		hasTeams:      s.table.HasTeams(),
 	}
 	for i, name := range names {
 		f.shards[i] = shardState{service: s.services[name], name: name}
@@ -80,9 +93,18 @@
 	return f
 }
 
-// run sends the request to all shards and returns the answer.
+// run takes a place in the queues for the request, sends it to all shards and returns the
+// answer.
 func (f *forwarder) run(ctx context.Context) *Answer {
-	if answer := f.refuseUnservable(); answer != nil {
+	f.takePlace(time.Now())
+	answer := f.forward(ctx)
+	f.leavePlace(time.Now(), answer)
+	return answer
+}
+
+// forward sends the request to all shards and returns the answer.
+func (f *forwarder) forward(ctx context.Context) *Answer {
+	if answer := f.refuseUnservable(time.Now()); answer != nil {
 		return answer
 	}
 	for i := range f.shards {
@@ -123,17 +145,23 @@
 		f.settle(s, nil, ReasonNoUpstream)
 		return
 	}
-	got := s.service.reserveOrEnqueue(time.Now(), waiter{forwarder: f, shard: i, answerBy: f.plan.answerBy, grantBy: f.plan.grantBy()})
+	got := s.service.reserveOrEnqueue(time.Now(), f.waiter(i))
 	switch {
 	case got.replica != nil:
 		f.startAttempt(i, got.replica, firstAttempt)
 	case got.queued:
 		s.waiting, s.reason = true, ReasonNoCapacity
+		f.waited = true
 	default:
 		f.settleRefused(s, got.refused, got.retryAfter)
 	}
 }
 
+// waiter returns a shard as it waits for a replica.
+func (f *forwarder) waiter(shard int) waiter {
+	return waiter{forwarder: f, shard: shard, answerBy: f.plan.answerBy, grantBy: f.plan.grantBy()}
+}
+
 // settleRefused settles a shard that got neither a replica nor a place in the queue.
 func (f *forwarder) settleRefused(s *shardState, refused Reason, retryAfter time.Duration) {
 	f.retryAfter = max(f.retryAfter, retryAfter)
@@ -160,6 +188,7 @@
 	s.running = append(s.running, a)
 	s.countedAttempts++
 	f.attempts++
+	f.grantPlace()
 	f.relay.Metrics.countAttempt(cause, a.crossesZones())
 	f.request.scope.Retain()
 	a.openLease()
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -27,6 +27,7 @@
 // It returns a refusal if there is none. In any case the request must be released once its
 // answer has been written.
 func (r *Relay) Admit(request *Request, caller string) *Answer {
+	request.caller = caller
 	if r.config.Memory == nil {
 		return nil
 	}
@@ -37,7 +38,6 @@
 		needed = memory.RequestBytes + attemptBytes*memory.Bytes(max(len(matched.Shards), 1))
 		urgent = matched.Rank == 0
 	}
-	request.caller = caller
 	request.scope = memory.NewScope()
 	request.lease = r.config.Memory.Open(memory.Holder{
 		Kind:   memory.Requests,
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -182,12 +182,14 @@
 
 // The reasons.
 const (
-	ReasonNoConfig     Reason = "noConfig"
-	ReasonNoRoute      Reason = "noRoute"
-	ReasonMalformed    Reason = "malformed"
-	ReasonNoUpstream   Reason = "noUpstream"
-	ReasonBackingOff   Reason = "backingOff"
-	ReasonNoCapacity   Reason = "noRoom"
+	ReasonNoConfig   Reason = "noConfig"
+	ReasonNoRoute    Reason = "noRoute"
+	ReasonMalformed  Reason = "malformed"
+	ReasonNoUpstream Reason = "noUpstream"
+	ReasonBackingOff Reason = "backingOff"
+	ReasonNoCapacity Reason = "noRoom"
+	// ReasonOverloaded means that the turn of the request was forecast to come too late.
+	ReasonOverloaded   Reason = "overloaded"
 	ReasonNoBudget     Reason = "noBudget"
 	ReasonRateLimited  Reason = "rateLimited"
 	ReasonShed         Reason = "shed"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -95,6 +95,7 @@
 
 	inProgress atomic.Int64
 	leaving    atomic.Pointer[leaving]
+	sharing    *sharing
 	// budgetNodes is the number of nodes that share the budget. nodeCount, which mu
 	// guards, keeps it up while their attempts still count.
 	budgetNodes atomic.Int64
@@ -145,6 +146,7 @@
 		wakeupDelay:      newWakeupDelay(),
 		answerNow:        make(chan struct{}),
 		nodeCount:        budget.NewNodeCount(config.Budget.Period),
+		sharing:          newSharing(),
 	}
 	r.updateBudgetNodes()
 	r.leaving.Store(&leaving{})
@@ -162,6 +164,7 @@
 		return
 	}
 	r.replaceTable(table)
+	r.sharing.setTable(table)
 	r.hedgeDelays.retain(table)
 	r.deadlineTrackers.retain(table)
 	r.answerTimes.retain(table)
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bronzereach/bronzereach/pkg/budget"
+	"github.com/bronzereach/bronzereach/pkg/queue"
 	"github.com/bronzereach/bronzereach/pkg/replica"
 	"github.com/bronzereach/bronzereach/pkg/upstream"
 )
@@ -21,9 +22,13 @@
 	replicaGroup *replicaGroup
 	window       *budget.Window
 	random       *rand.Rand
-	// waiting is the queue of shards without a replica, ordered by rank, then by
-	// arrival.
+	// waiting is the queue of shards without a replica, ordered by rank, then by tag, then
+	// by arrival. Without teams all tags are equal.
 	waiting []waiter
+	// backlogSince is since when the queue has not been empty; it has no meaning if it is.
+	backlogSince time.Time
+	// credits are the grants owed to less urgent ranks if there are teams.
+	credits queue.Credits
 	// grantTimer calls grantAllowed when a rate limit allows the next attempt, and is
 	// set to do so at grantAt unless that is zero. A replica that may be used again
 	// counts like one whose rate limit allows the next attempt.
@@ -37,6 +42,8 @@
 type waiter struct {
 	forwarder *forwarder
 	shard     int
+	// place is the forwarder's, set when the waiter is queued.
+	place place
 	// answerBy is when the answer must be sent to meet the objective.
 	answerBy time.Time
 	// grantBy is when the shard must have got a replica, or else waits in vain.
@@ -63,6 +70,7 @@
 		relay:        r,
 		replicaGroup: newReplicaGroup(name, r.config.AvailabilityZone, r.idle),
 		window:       window,
+		credits:      newFloorCredits(),
 		random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		maxIdle:      1,
 	}
@@ -99,16 +107,21 @@
 	// What has become free meanwhile is for those that wait already.
 	s.grantCapacity(now)
 	if chosen := s.reserveReplica(now); chosen != nil {
+		w.forwarder.granted.Store(true)
 		return reservation{replica: chosen}
 	}
 	if count, _ := s.replicaGroup.CountUsable(now); count == 0 {
 		return reservation{refused: s.unusableReason(now)}
 	}
 	// Others may have taken the turns that were left when availability was asked for.
-	position := s.countWaiters(w.forwarder.request.Rank())
+	w.place = w.forwarder.place()
+	position := s.countWaiters(w.place)
 	if late := s.lateBy(now, w, position); late > 0 {
 		return reservation{refused: ReasonRateLimited, retryAfter: late}
 	}
+	if len(s.waiting) == 0 {
+		s.backlogSince = now
+	}
 	s.waiting = slices.Insert(s.waiting, position, w)
 	s.refuseOvertaken(now, position+1)
 	s.scheduleGrant(now)
@@ -230,9 +243,10 @@
 			s.scheduleGrant(now)
 			return
 		}
-		next := nextWaiter(s.waiting, now)
+		next := s.takeNext(now)
 		first := s.waiting[next]
 		s.waiting = slices.Delete(s.waiting, next, next+1)
+		first.forwarder.granted.Store(true)
 		first.forwarder.events <- forwarderEvent{granted: chosen, shard: first.shard}
 	}
 }
@@ -273,39 +287,6 @@
 	return 0
 }
 
-// availability tells when a service can take one more request.
-type availability struct {
-	// usable is the number of replicas that may get attempts, untilUsable the time
-	// until the first of the others may.
-	usable      int
-	untilUsable time.Duration
-	// rateWait is how long the rate limits of the usable replicas keep the request
-	// waiting.
-	rateWait time.Duration
-	// backsOff is true if the upstreams themselves have told until when none of the
-	// replicas may be used.
-	backsOff bool
-}
-
-// availability returns when the service can take one more request of the rank.
-func (s *service) availability(now time.Time, rank int) (a availability) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	a.usable, a.untilUsable = s.replicaGroup.CountUsable(now)
-	a.rateWait = s.replicaGroup.RateWait(now, s.countWaiters(rank))
-	a.backsOff = s.unusableReason(now) == ReasonBackingOff
-	return a
-}
-
-// countWaiters returns how many waiters go before a new one of the rank.
-func (s *service) countWaiters(rank int) int {
-	count := len(s.waiting)
-	for count > 0 && s.waiting[count-1].forwarder.request.Rank() > rank {
-		count--
-	}
-	return count
-}
-
 // closeExpired closes the idle connections that upstreams are about to close.
 func (s *service) closeExpired(now time.Time) {
 	s.mu.Lock()
--- a/internal/relay/service_test.go
+++ b/internal/relay/service_test.go
@@ -132,7 +132,7 @@
 	s.limitRate(slot, interval)
 	first := &forwarder{request: &Request{Route: &route.Route{}}, events: make(chan forwarderEvent, 1)}
 	second := &forwarder{request: first.request, events: make(chan forwarderEvent, 1)}
-	firstTurn := s.service.availability(s.now, 0).rateWait
+	firstTurn := s.service.availability(s.now, place{}).rateWait
 	grantBy := s.now.Add(firstTurn + interval/2)
 	if got := s.service.reserveOrEnqueue(s.now, waiter{forwarder: first, grantBy: grantBy}); !got.queued {
 		t.Fatalf("the first request got %+v, want a place in the queue", got)
@@ -150,7 +150,7 @@
 	s := newSingleSlotService()
 	_, slot := s.sendRequest(1, time.Second)
 	s.limitRate(slot, interval)
-	grantBy := s.now.Add(s.service.availability(s.now, 0).rateWait + interval/2)
+	grantBy := s.now.Add(s.service.availability(s.now, place{}).rateWait + interval/2)
 	low := &forwarder{request: &Request{Route: &route.Route{Rank: 2}}, events: make(chan forwarderEvent, 1), pendingShards: 1}
 	low.plan.requiredShards = 1
 	low.shards = []shardState{{service: s.service, waiting: true, reason: ReasonNoCapacity}}
