--- a/internal/relay/laterretry.go
+++ b/internal/relay/laterretry.go
@@ -67,7 +67,7 @@
 	if len(f.shards) == 1 || !retriesLater(s.reason) || s.retryDenied == ReasonNoBudget {
 		return false
 	}
-	if a := s.service.availability(now, f.request.Rank()); a.usable == 0 && (a.untilUsable == 0 || a.backsOff) {
+	if a := s.service.availability(now, f.place()); a.usable == 0 && (a.untilUsable == 0 || a.backsOff) {
 		return false
 	}
 	return s.laterRetry.planNext(now, minTime(f.plan.lateAnswerAt, f.plan.answerDeadline))
--- a/internal/relay/memory.go
+++ b/internal/relay/memory.go
@@ -33,6 +33,7 @@
 		r.recordAnswer(request, answer)
 		return answer
 	}
+	request.caller = caller
 	if r.config.Memory == nil {
 		return nil
 	}
@@ -41,7 +42,6 @@
 		needed = memory.RequestBytes + attemptBytes*memory.Bytes(max(len(matched.Shards), 1))
 		urgent = request.Rank() == 0
 	}
-	request.caller = caller
 	request.scope = memory.NewScope()
 	request.lease = r.config.Memory.Open(memory.Holder{
 		Kind:   memory.Requests,
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -191,13 +191,15 @@
 
 // The reasons.
 const (
-	ReasonNoConfig     Reason = "noConfig"
-	ReasonNoRoute      Reason = "noRoute"
-	ReasonUnknownKey   Reason = "unknownKey"
-	ReasonMalformed    Reason = "malformed"
-	ReasonNoUpstream   Reason = "noUpstream"
-	ReasonBackingOff   Reason = "backingOff"
-	ReasonNoCapacity   Reason = "noRoom"
+	ReasonNoConfig   Reason = "noConfig"
+	ReasonNoRoute    Reason = "noRoute"
+	ReasonUnknownKey Reason = "unknownKey"
+	ReasonMalformed  Reason = "malformed"
+	ReasonNoUpstream Reason = "noUpstream"
+	ReasonBackingOff Reason = "backingOff"
+	ReasonNoCapacity Reason = "noRoom"
+	// ReasonOverloaded means that the turn of the request was forecast to come too late.
+	ReasonOverloaded   Reason = "overloaded"
 	ReasonNoBudget     Reason = "noBudget"
 	ReasonRateLimited  Reason = "rateLimited"
 	ReasonShed         Reason = "shed"
