Upstreams of evacuated zones get no new attempts

Relay.SetEvacuated withdraws the replicas of the zones like leaving ones, but for a time: they keep their statistics, attempts in progress go on and their replies are used, hedges, retries and waiters get others or are refused, with noUpstream if all zones are evacuated. The zones in which callers are served don't change. Nothing calls SetEvacuated yet.

Tested with recording upstreams and waiters. Each test was seen to fail: without the check in usable, without the mark on registrations that come during the evacuation and on new services, with a mark that stays, without refuseStranded and without grantCapacity, and with replies from evacuated zones thrown away.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -88,6 +88,8 @@
 	mu           sync.Mutex
 	routingState atomic.Pointer[routingState]
 	idle         *idleConnections
+	// evacuated holds the evacuated availability zones, guarded by mu.
+	evacuated upstream.EvacuatedZones
 
 	// replicaReplaced is true from when a reply shows that an upstream is not at its
 	// address until the next Tick.
@@ -235,6 +237,7 @@
 	for name := range byService {
 		if services[name] == nil {
 			services[name] = newService(r, name)
+			services[name].setEvacuated(now, r.evacuated)
 		}
 	}
 	for name, s := range services {
--- a/pkg/replica/backoff.go
+++ b/pkg/replica/backoff.go
@@ -96,11 +96,11 @@
 	return wait, ok
 }
 
-// Stranded reports whether requests wait in vain for a replica: all of them are leaving
-// or backing off.
+// Stranded reports whether requests wait in vain for a replica: all of them are leaving,
+// evacuated or backing off.
 func (g *Group[C]) Stranded(now time.Time) bool {
 	for _, replica := range g.replicas {
-		if !replica.state.leaving && !replica.state.backoff.active(now) {
+		if !replica.state.withdrawn() && !replica.state.backoff.active(now) {
 			return false
 		}
 	}
--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -86,6 +86,8 @@
 	median float64
 	// removedBackoffs holds the backoffs of replicas that were removed before they ended.
 	removedBackoffs map[upstream.Instance]backoff
+	// evacuated holds the availability zones whose replicas get no attempts.
+	evacuated upstream.EvacuatedZones
 }
 
 // GroupConfig holds the parameters of NewGroup.
@@ -130,6 +132,7 @@
 		}
 		replica.Registration = registration
 		replica.state.leaving = replica.replaced || replica.toldLeaving || registration.Leaving
+		replica.state.evacuated = g.evacuated.Has(registration.AvailabilityZone)
 		replica.coldUntil = now.Add(registration.ColdRemaining)
 		next = append(next, replica)
 	}
@@ -260,7 +263,7 @@
 			count++
 			continue
 		}
-		if remaining := replica.state.usableAt().Sub(now); !replica.state.leaving && (wait == 0 || remaining < wait) {
+		if remaining := replica.state.usableAt().Sub(now); !replica.state.withdrawn() && (wait == 0 || remaining < wait) {
 			wait = remaining
 		}
 	}
--- a/pkg/replica/replica.go
+++ b/pkg/replica/replica.go
@@ -103,6 +103,8 @@
 	backoff   backoff
 	// leaving stays true until another incarnation of the upstream is seen.
 	leaving bool
+	// evacuated is true while the availability zone of the upstream is evacuated.
+	evacuated bool
 	// markedAt is when leaving was set although no process was known; zero otherwise.
 	markedAt    time.Time
 	incarnation string
@@ -200,10 +202,15 @@
 }
 
 func (u *state) usable(now time.Time) bool {
-	return !u.leaving && !now.Before(u.downUntil) && !u.backoff.active(now)
+	return !u.withdrawn() && !now.Before(u.downUntil) && !u.backoff.active(now)
 }
 
-// usableAt returns when the upstream may get attempts unless it is leaving.
+// withdrawn reports whether the upstream gets no attempts for a time that isn't known.
+func (u *state) withdrawn() bool {
+	return u.leaving || u.evacuated
+}
+
+// usableAt returns when the upstream may get attempts unless it is withdrawn.
 func (u *state) usableAt() time.Time {
 	if u.backoff.until.After(u.downUntil) {
 		return u.backoff.until
