--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -41,6 +41,10 @@
 	// Upstreams returns what this node knows of the upstreams, to send it to another
 	// node. The revision is 0 while this node has not read the store.
 	Upstreams() upstream.Snapshot
+	// ApplyEvacuated handles a change of the evacuated availability zones, or of the
+	// revision as of which they are known. It is called with increasing revisions, from one
+	// goroutine, for which it must not wait.
+	ApplyEvacuated(upstream.EvacuatedZones)
 	// CallerTimeouts returns how long a caller may take to send the head of a request,
 	// and how long its connection may be idle; 0 where the configuration says nothing.
 	CallerTimeouts() (header, idle time.Duration)
@@ -59,6 +63,11 @@
 	// AnnounceLeaving tells the other nodes that an upstream is leaving. The
 	// incarnation distinguishes this event from others of the same upstream.
 	AnnounceLeaving(upstream, incarnation string)
+	// AnnounceEvacuated passes on the evacuated availability zones as read from the store.
+	// They are applied, and gossiped, unless later ones are known.
+	AnnounceEvacuated(upstream.EvacuatedZones)
+	// Evacuated returns the evacuated availability zones that this node knows.
+	Evacuated() upstream.EvacuatedZones
 	// RequestUpstreams asks a peer for its upstreams if it has a revision of the
 	// store later than known; it returns none otherwise.
 	RequestUpstreams(ctx context.Context, known upstream.Revision) (upstream.Snapshot, error)
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -14,6 +14,7 @@
 	"github.com/bronzereach/bronzereach/pkg/assignment"
 	"github.com/bronzereach/bronzereach/pkg/document"
 	"github.com/bronzereach/bronzereach/pkg/member"
+	"github.com/bronzereach/bronzereach/pkg/upstream"
 )
 
 // Intervals and limits of the control goroutine.
@@ -122,6 +123,10 @@
 	storeUnavailable bool
 	// peers are the peer addresses from the settings.
 	peers []string
+	// evacuated is the set of evacuated availability zones. Its revision never decreases.
+	evacuated upstream.EvacuatedZones
+	// publishedEvacuated is evacuated for the adapter's goroutines.
+	publishedEvacuated atomic.Pointer[upstream.EvacuatedZones]
 }
 
 func newControl(n *Node) *control {
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -68,6 +68,7 @@
 		Members:       membersToWire(c.table.Updates()),
 		ConfigVersion: c.version.Load(),
 		Notices:       c.notices.NextBatch(member.MaxNotices, c.table.Alive()),
+		Evacuated:     evacuatedToWire(c.evacuated),
 	}
 }
 
@@ -200,6 +201,7 @@
 	for _, notice := range message.GetNotices() {
 		c.broadcast(now, notice)
 	}
+	c.mergeEvacuated(evacuatedFromWire(message.GetEvacuated()), message.GetFrom())
 	if message.GetConfigVersion() > c.version.Load() {
 		c.fetchConfig(ctx, message.GetFrom())
 	}
--- a/internal/node/leave_test.go
+++ b/internal/node/leave_test.go
@@ -32,6 +32,7 @@
 func (a *plainAdapter) Configure(uint64, []byte) error               { return nil }
 func (a *plainAdapter) Ready() bool                                  { return true }
 func (a *plainAdapter) MarkUpstreamLeaving(string, string)           {}
+func (a *plainAdapter) ApplyEvacuated(upstream.EvacuatedZones)       {}
 func (a *plainAdapter) Upstreams() upstream.Snapshot                 { return upstream.Snapshot{} }
 func (a *plainAdapter) Collectors() []prometheus.Collector           { return nil }
 func (a *plainAdapter) Leave(time.Time)                              {}
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -73,6 +73,13 @@
 	AddressListTTL time.Duration
 	// Budget limits retries and hedges over all nodes.
 	Budget budget.Config
+	// EvacuationTime is the time within which upstreams of an evacuated availability zone
+	// get nothing new; 0 if zones are not evacuated.
+	EvacuationTime time.Duration
+	// ColdOverage and ColdSlack are the tolerance of the rate limit of cold upstreams: in
+	// any second they may get the limit times the overage and the slack.
+	ColdOverage float64
+	ColdSlack   float64
 }
 
 // Production is the environment that accepts only documents that passed a trial.
@@ -162,6 +169,8 @@
 	defaultGracePeriod  = 6 * time.Second
 	defaultBudgetPeriod = 10 * time.Second
 	defaultBudgetRatio  = 0.1
+	defaultColdOverage  = 1.5
+	defaultColdSlack    = 5
 	megabyte            = 1 << 20
 )
 
@@ -211,6 +220,7 @@
 			Period: table.DurationOr("extraAttemptsPeriod", defaultBudgetPeriod),
 		},
 	}
+	readZoneOptions(table, foreign)
 	if foreign.Budget.Period < minBudgetPeriod {
 		table.Problemf("extraAttemptsPeriod", "extraAttemptsPeriod must be %s or more", minBudgetPeriod)
 	}
@@ -218,6 +228,17 @@
 	return foreign
 }
 
+// readZoneOptions reads the settings of evacuated availability zones and cold upstreams.
+func readZoneOptions(table *document.Table, foreign *ForeignOptions) {
+	const overageKey = "coldOverage"
+	foreign.EvacuationTime = table.DurationOr("evacuationTime", 0)
+	foreign.ColdOverage = table.NumberOr(overageKey, defaultColdOverage)
+	foreign.ColdSlack = table.NumberOr("coldSlack", defaultColdSlack)
+	if foreign.ColdOverage < 1 {
+		table.Problemf(overageKey, "%s must be 1 or more", overageKey)
+	}
+}
+
 func readAddress(root *document.Table, key string) string {
 	address := root.Text(key)
 	if _, _, err := net.SplitHostPort(address); address != "" && err != nil {
--- a/pkg/upstream/evacuated.go
+++ b/pkg/upstream/evacuated.go
@@ -41,6 +41,11 @@
 	return EvacuatedZones{revision: revision, zones: kept}
 }
 
+// AsOf returns the same zones as of another revision.
+func (e EvacuatedZones) AsOf(revision Revision) EvacuatedZones {
+	return EvacuatedZones{revision: revision, zones: e.zones}
+}
+
 // With returns the set with further zones, as of a revision.
 func (e EvacuatedZones) With(revision Revision, zones ...string) EvacuatedZones {
 	return NewEvacuatedZones(revision, slices.Concat(e.zones, zones))
@@ -62,5 +67,10 @@
 
 // Equal reports whether both sets hold the same zones as of the same revision.
 func (e EvacuatedZones) Equal(other EvacuatedZones) bool {
-	return e.revision == other.revision && slices.Equal(e.zones, other.zones)
+	return e.revision == other.revision && e.SameZones(other)
+}
+
+// SameZones reports whether both sets hold the same zones.
+func (e EvacuatedZones) SameZones(other EvacuatedZones) bool {
+	return slices.Equal(e.zones, other.zones)
 }
