--- a/review/lab/machine.go
+++ b/review/lab/machine.go
@@ -114,13 +114,16 @@
 
 var (
 	seedSection = regexp.MustCompile(`(?s)\{\{#seeds\}\}.*?\{\{/seeds\}\}`)
-	placeholder = regexp.MustCompile(`\{\{([a-z_.]+)\}\}`)
+	// boundSection is left out: the review's site has none of the bounds in such sections.
+	boundSection = regexp.MustCompile(`\{\{#bounds\.[a-z_]+\}\}[^\n]*\{\{/bounds\.[a-z_]+\}\}`)
+	placeholder  = regexp.MustCompile(`\{\{([a-z_.]+)\}\}`)
 )
 
 // render fills in the placeholders that the template uses.
 func render(template, seeds string, values map[string]string) (string, error) {
 	missing := ""
-	text := placeholder.ReplaceAllStringFunc(seedSection.ReplaceAllString(template, seeds), func(match string) string {
+	template = boundSection.ReplaceAllString(seedSection.ReplaceAllString(template, seeds), "")
+	text := placeholder.ReplaceAllStringFunc(template, func(match string) string {
 		value, known := values[strings.Trim(match, "{}")]
 		if !known {
 			missing = match
