Cold upstreams get at most cold_per_s requests a second from all nodes

A replica that is cold and whose service has ColdPerSecond gets attempts by the pacer of rate limits, the lower of the two limits if the upstream names one too. An unused share is kept for a third of what coldOverage and coldSlack allow beyond the limit, half a second at most, not a second as for named limits: their rule counts over 4 s, this one over 1 s. A node that may not know the others yet takes a hundredth of the limit, as else each node of a fleet that starts at once would take all of it. The limits of a service are set before it can be seen.

coldUntil was set anew from ColdRemaining whenever any registration changed, so that an upstream stayed cold for as long as others changed. It changes now for another process, for a later registration that names more time, and to an earlier end; not for a registration that is passed on or read again.

Replies with status 421 take the replica out of use, so nothing is given back for them.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,6 +48,8 @@
 	Protocol         Protocol
 	// Budget bounds attempts beyond the first, summed over all nodes.
 	Budget budget.Config
+	// Cold is the tolerance of the rate limit of cold upstreams.
+	Cold ColdTolerance
 	// Fleet returns the nodes that send requests to the upstreams.
 	Fleet func() Fleet
 	// Started is when the node started; zero if it starts now. A node that has just
@@ -181,8 +183,8 @@
 		next.reachable = reachable
 	}
 	next.upstreamZones = upstream.Zones(reachable, table.Shards())
-	r.routingState.Store(&next)
 	r.updateLimits(&next)
+	r.routingState.Store(&next)
 }
 
 // SetUpstreams replaces the registrations of all upstreams.
@@ -199,8 +201,8 @@
 		reachable:      reachable,
 		upstreamZones:  upstream.Zones(reachable, old.table.Shards()),
 	}
-	r.routingState.Store(&next)
 	r.updateLimits(&next)
+	r.routingState.Store(&next)
 }
 
 // reachableUpstreams returns the registrations whose address no other upstream has taken
@@ -259,7 +261,7 @@
 	for name, svc := range s.services {
 		settings, _ := s.table.Service(name)
 		maxBusy, maxIdle := connectionShare(settings.Connections, fleet)
-		svc.setLimits(replica.Limits{Connections: maxBusy, Nodes: fleet.Serving, RateShare: rateShare(fleet)}, maxIdle)
+		svc.setLimits(replica.Limits{Connections: maxBusy, Nodes: fleet.Serving, RateShare: rateShare(fleet), Cold: r.coldLimit(settings, fleet)}, maxIdle)
 	}
 }
 
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -31,6 +31,8 @@
 	grantAt    time.Time
 	// maxIdle bounds the idle connections to one replica.
 	maxIdle int
+	// firstColdToken is that of replica.ColdLimit.
+	firstColdToken float64
 }
 
 // waiter is a shard of a forwarder that waits for a replica with free capacity.
@@ -65,6 +67,8 @@
 		window:       window,
 		random:       rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 		maxIdle:      1,
+
+		firstColdToken: rand.Float64(),
 	}
 }
 
@@ -85,8 +89,13 @@
 func (s *service) setLimits(limits replica.Limits, maxIdle int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	limits.Cold.FirstToken = s.firstColdToken
 	s.replicaGroup.SetLimits(limits)
 	s.maxIdle = maxIdle
+	if limits.Cold.PerSecond > 0 {
+		// The time for which grantTimer is set may have been for a much lower limit.
+		s.grantCapacity(time.Now())
+	}
 }
 
 // reserveOrEnqueue counts a request towards the budget and reserves a replica for
--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -50,7 +50,7 @@
 	Registration upstream.Registration
 	Data         C
 	state        state
-	// coldUntil is the time until which coldFactor applies.
+	// coldUntil is the time until which coldFactor and the limit of cold replicas apply.
 	coldUntil time.Time
 	// risk is the moving average of the share of attempts that were shed or
 	// failed, as of riskAt; between 0 and 1.
@@ -88,6 +88,8 @@
 	removedBackoffs map[upstream.Instance]backoff
 	// evacuated holds the availability zones whose replicas get no attempts.
 	evacuated upstream.EvacuatedZones
+	// cold is the limit of each replica while it is cold.
+	cold ColdLimit
 }
 
 // GroupConfig holds the parameters of NewGroup.
@@ -112,6 +114,8 @@
 	Nodes int
 	// RateShare is the fraction of a replica's rate limit, above 0.
 	RateShare float64
+	// Cold bounds the attempts at cold replicas.
+	Cold ColdLimit
 }
 
 // SetLimits replaces the limits of this node.
@@ -119,6 +123,10 @@
 	g.connections = max(limits.Connections, 1)
 	g.nodes = max(limits.Nodes, 1)
 	g.rateShare = limits.RateShare
+	g.cold = limits.Cold
+	for _, replica := range g.replicas {
+		g.setColdPace(replica)
+	}
 }
 
 // Sync replaces the list of upstreams and returns the replicas that are no
@@ -130,10 +138,11 @@
 		if replica == nil {
 			replica = &Replica[C]{Data: g.newData(registration), state: state{limit: math.Inf(1), backoff: g.removedBackoffs[registration.Instance()]}}
 		}
+		replica.updateCold(now, registration)
 		replica.Registration = registration
 		replica.state.leaving = replica.replaced || replica.toldLeaving || registration.Leaving
 		replica.state.evacuated = g.evacuated.Has(registration.AvailabilityZone)
-		replica.coldUntil = now.Add(registration.ColdRemaining)
+		g.setColdPace(replica)
 		next = append(next, replica)
 	}
 	for _, old := range g.replicas {
--- a/pkg/route/route.go
+++ b/pkg/route/route.go
@@ -97,6 +97,9 @@
 	// Connections is the number of connections that each upstream of the
 	// service accepts from all nodes together; 0 for no limit.
 	Connections int
+	// ColdPerSecond is the number of requests a second that each upstream gets from all
+	// nodes together while it is cold; 0 for no limit.
+	ColdPerSecond float64
 }
 
 // Limits are the limits on a caller's connection and request.
