A node that starts refuses requests until it knows the evacuated zones

Cause: the routing table was held back until then, and with it the node was not ready. Only ready nodes are watchers, so that after a restart of all nodes nobody read the zones before the wait of 2 s was over: nodes were ready after 2.06 s and sent 18 requests to the evacuated zone (TestRestartOfAllNodesKeepsAnEvacuation).

--- a/internal/relay/evacuated.go
+++ b/internal/relay/evacuated.go
@@ -6,6 +6,20 @@
 	"github.com/bronzereach/bronzereach/pkg/upstream"
 )
 
+// ReasonZonesUnknown means that the node has just started and doesn't know yet which
+// availability zones are evacuated.
+const ReasonZonesUnknown Reason = "zonesUnknown"
+
+// AwaitsZones reports whether requests are refused until the evacuated zones are known.
+func (r *Relay) AwaitsZones() bool {
+	return r.awaitsZones.Load()
+}
+
+// StopAwaitingZones lets the relay send requests although it doesn't know the evacuated zones.
+func (r *Relay) StopAwaitingZones() {
+	r.awaitsZones.Store(false)
+}
+
 // SetEvacuated replaces the evacuated availability zones. Upstreams there get no new
 // attempts; those in progress go on. UpstreamZones stay as they are: nodes in an evacuated
 // zone serve callers.
@@ -17,6 +31,7 @@
 	for _, s := range r.routingState.Load().services {
 		s.setEvacuated(now, zones)
 	}
+	r.awaitsZones.Store(false)
 }
 
 // setEvacuated replaces the evacuated zones. Waiters get what may be used now, or are
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,6 +48,9 @@
 	Protocol         Protocol
 	// Budget bounds attempts beyond the first, summed over all nodes.
 	Budget budget.Config
+	// AwaitZones makes the relay refuse requests until SetEvacuated or StopAwaitingZones is
+	// called.
+	AwaitZones bool
 	// Cold is the tolerance of the rate limit of cold upstreams.
 	Cold ColdTolerance
 	// Fleet returns the nodes that send requests to the upstreams.
@@ -92,6 +95,8 @@
 	idle         *idleConnections
 	// evacuated holds the evacuated availability zones, guarded by mu.
 	evacuated upstream.EvacuatedZones
+	// awaitsZones is true until the evacuated zones are known or not awaited any more.
+	awaitsZones atomic.Bool
 
 	// replicaReplaced is true from when a reply shows that an upstream is not at its
 	// address until the next Tick.
@@ -151,6 +156,7 @@
 		nodeCount:        budget.NewNodeCount(config.Budget.Period),
 	}
 	r.updateBudgetNodes()
+	r.awaitsZones.Store(config.AwaitZones)
 	r.leaving.Store(&leaving{})
 	r.routingState.Store(&routingState{})
 	return r
@@ -395,6 +401,11 @@
 		answer.ConfigVersion = s.table.Version()
 		return answer
 	}
+	if r.AwaitsZones() {
+		answer := refusal(ReasonZonesUnknown, notReadyRetryAfter)
+		answer.ConfigVersion = s.table.Version()
+		return answer
+	}
 	prepared, err := r.config.Protocol.Prepare(request)
 	if err != nil {
 		r.config.Log.Info("requestMalformed", "requestID", request.ID, "error", err.Error())
