--- a/internal/relay/cold_test.go
+++ b/internal/relay/cold_test.go
@@ -14,7 +14,7 @@
 // the limit, and against nodes that take the whole limit while they start together.
 func TestColdLimitIsSharedByTheFleet(t *testing.T) {
 	const perSecond, serving, others = 20, 6, 53
-	r := New(Config{Fleet: func() Fleet { return Fleet{Serving: 1} }, Cold: ColdTolerance{Overage: 1.5, Slack: 5}, Log: logr.Discard()})
+	r := New(Config{Started: time.Now().Add(-time.Minute), Fleet: func() Fleet { return Fleet{Serving: 1} }, Cold: ColdTolerance{Overage: 1.5, Slack: 5}, Log: logr.Discard()})
 	share := func(fleet Fleet) float64 {
 		return r.coldLimit(route.Service{ColdPerSecond: perSecond}, fleet).PerSecond * rateShare(fleet)
 	}
@@ -25,6 +25,10 @@
 	if starting := (serving + others) * share(Fleet{Serving: 1, Serves: true, Joining: true}); starting > perSecond {
 		t.Errorf("%.1f attempts a second of nodes that don't know each other yet, the limit is %d", starting, perSecond)
 	}
+	r.config.Started = time.Now()
+	if joined := (serving + others) * share(Fleet{Serving: 1, Serves: true}); joined > perSecond {
+		t.Errorf("%.1f attempts a second of nodes that know none of the others as ready yet, the limit is %d", joined, perSecond)
+	}
 	if limit := r.coldLimit(route.Service{}, Fleet{Serving: 1}); limit.PerSecond != 0 {
 		t.Errorf("%+v without a limit in the table", limit)
 	}
@@ -33,7 +37,7 @@
 // TestColdServiceIsLimitedFromTheStart guards against a service that is used without its limit
 // when it is new or when the table first names one.
 func TestColdServiceIsLimitedFromTheStart(t *testing.T) {
-	r := New(Config{Fleet: func() Fleet { return Fleet{Serving: 1, Serves: true} }, Cold: ColdTolerance{Overage: 1.5, Slack: 5}, Log: logr.Discard()})
+	r := New(Config{Started: time.Now().Add(-time.Minute), Fleet: func() Fleet { return Fleet{Serving: 1, Serves: true} }, Cold: ColdTolerance{Overage: 1.5, Slack: 5}, Log: logr.Discard()})
 	routes := []route.Route{{Host: "h", Prefix: "/", Targets: []route.Target{{Service: "s", Weight: 1}}}}
 	table := func(version uint64, perSecond float64) *route.Table {
 		return route.NewTable(route.Config{Version: version, Routes: routes, Services: []route.Service{{Name: "s", ColdPerSecond: perSecond}}})
