--- a/internal/cli/node.go
+++ b/internal/cli/node.go
@@ -33,6 +33,9 @@
 	}
 	if options.Foreign != nil {
 		options.NewAdapter = platform.New
+		if err := platform.ApplyBounds(os.Getenv(boundsVariable), options.Foreign); err != nil {
+			return exitUsage, errors.WithMessagef(errUsage, "%s: %s", boundsVariable, err)
+		}
 	}
 	if flags.gracePeriod > 0 {
 		options.GracePeriod = flags.gracePeriod
--- a/internal/cli/options.go
+++ b/internal/cli/options.go
@@ -30,6 +30,10 @@
 // goes before the settings.
 const graceVariable = "BRONZEREACH_GRACE_PERIOD"
 
+// boundsVariable is the environment variable with the bounds of the deployment on the
+// users' platform, a JSON object; they go before the settings.
+const boundsVariable = "BRONZEREACH_BOUNDS"
+
 // usage is the help text of the program.
 const usage = `bronzereach answers queries over many shards and explains each answer.
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,6 +48,11 @@
 	Protocol         Protocol
 	// Budget bounds attempts beyond the first, summed over all nodes.
 	Budget budget.Config
+	// AwaitZones makes the relay refuse requests until SetEvacuated or StopAwaitingZones is
+	// called.
+	AwaitZones bool
+	// Cold is the tolerance of the rate limit of cold upstreams.
+	Cold ColdTolerance
 	// Fleet returns the nodes that send requests to the upstreams.
 	Fleet func() Fleet
 	// Started is when the node started; zero if it starts now. A node that has just
@@ -88,6 +93,10 @@
 	mu           sync.Mutex
 	routingState atomic.Pointer[routingState]
 	idle         *idleConnections
+	// evacuated holds the evacuated availability zones, guarded by mu.
+	evacuated upstream.EvacuatedZones
+	// awaitsZones is true until the evacuated zones are known or not awaited any more.
+	awaitsZones atomic.Bool
 
 	// replicaReplaced is true from when a reply shows that an upstream is not at its
 	// address until the next Tick.
@@ -149,6 +158,7 @@
 		sharing:          newSharing(),
 	}
 	r.updateBudgetNodes()
+	r.awaitsZones.Store(config.AwaitZones)
 	r.leaving.Store(&leaving{})
 	r.routingState.Store(&routingState{})
 	return r
@@ -182,8 +192,8 @@
 		next.reachable = reachable
 	}
 	next.upstreamZones = upstream.Zones(reachable, table.Shards())
-	r.routingState.Store(&next)
 	r.updateLimits(&next)
+	r.routingState.Store(&next)
 }
 
 // SetUpstreams replaces the registrations of all upstreams.
@@ -200,8 +210,8 @@
 		reachable:      reachable,
 		upstreamZones:  upstream.Zones(reachable, old.table.Shards()),
 	}
-	r.routingState.Store(&next)
 	r.updateLimits(&next)
+	r.routingState.Store(&next)
 }
 
 // reachableUpstreams returns the registrations whose address no other upstream has taken
@@ -238,6 +248,7 @@
 	for name := range byService {
 		if services[name] == nil {
 			services[name] = newService(r, name)
+			services[name].setEvacuated(now, r.evacuated)
 		}
 	}
 	for name, s := range services {
@@ -259,7 +270,7 @@
 	for name, svc := range s.services {
 		settings, _ := s.table.Service(name)
 		maxBusy, maxIdle := connectionShare(settings.Connections, fleet)
-		svc.setLimits(replica.Limits{Connections: maxBusy, Nodes: fleet.Serving, RateShare: rateShare(fleet)}, maxIdle)
+		svc.setLimits(replica.Limits{Connections: maxBusy, Nodes: fleet.Serving, RateShare: rateShare(fleet), Cold: r.coldLimit(settings, fleet)}, maxIdle)
 	}
 }
 
@@ -390,6 +401,11 @@
 		answer.ConfigVersion = s.table.Version()
 		return answer
 	}
+	if r.AwaitsZones() {
+		answer := refusal(ReasonZonesUnknown, notReadyRetryAfter)
+		answer.ConfigVersion = s.table.Version()
+		return answer
+	}
 	prepared, err := r.config.Protocol.Prepare(request)
 	if err != nil {
 		r.config.Log.Info("requestMalformed", "requestID", request.ID, "error", err.Error())
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -35,5 +35,5 @@
 
 // probeable reports whether an upstream that is paused after failures may get one attempt.
 func (u *state) probeable(now time.Time) bool {
-	return !u.leaving && !u.backoff.active(now) && u.inFlight == 0 && now.Sub(u.lastUsed) >= pausedProbeInterval
+	return !u.withdrawn() && !u.backoff.active(now) && u.inFlight == 0 && now.Sub(u.lastUsed) >= pausedProbeInterval
 }
