Quotas of teams: one node lends the tokens of each

A quota counts over all nodes, whose callers move; equal shares would serve no team of one request a second. By rendezvous hashing over the serving members one node is the lender of a team; the others borrow tokens for the requests that wait. pkg/quota holds the decisions, internal/quota the calls.

--- a/internal/node/adapter.go
+++ b/internal/node/adapter.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/bronzereach/bronzereach/internal/entry"
+	"github.com/bronzereach/bronzereach/internal/quota"
 	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/internal/wire"
 	"github.com/bronzereach/bronzereach/pkg/member"
@@ -77,6 +78,8 @@
 	// Memory returns the account of what the node holds for others; nil if it is not
 	// bounded.
 	Memory() *memory.Account
+	// Quotas returns what keeps the quotas of teams.
+	Quotas() *quota.Manager
 	// Options returns the node's settings.
 	Options() Options
 	// Log returns the node's log.
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -8,6 +8,7 @@
 
 	"github.com/bronzereach/bronzereach/internal/entry"
 	"github.com/bronzereach/bronzereach/internal/promotion"
+	"github.com/bronzereach/bronzereach/internal/quota"
 	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/internal/util"
 	"github.com/bronzereach/bronzereach/internal/wire"
@@ -102,6 +103,12 @@
 	lastTick          time.Time
 	// lastContact holds the time of the last exchange with each member.
 	lastContact map[string]time.Time
+	// lastExchange is the time of the last exchange with any member; zero if there was
+	// none yet.
+	lastExchange time.Time
+	// quotaView is the view that quotaCluster is of.
+	quotaView    *entry.View
+	quotaCluster quota.Cluster
 	// storeQueried is true once a call to the store has ended, even with an error.
 	storeQueried bool
 	// configConfirmedAt is when version was last known to be the newest.
@@ -194,6 +201,7 @@
 	}
 	c.updateConfigConfirmed(now)
 	c.publish()
+	c.updateQuotas(now)
 }
 
 // handlePause gives up every gate after the process was suspended for
--- a/internal/node/gossip.go
+++ b/internal/node/gossip.go
@@ -195,7 +195,7 @@
 		c.logRejoin(message.GetFrom())
 	}
 	c.recordMemberChanges(changed)
-	c.lastContact[message.GetFrom()] = now
+	c.lastContact[message.GetFrom()], c.lastExchange = now, now
 	c.assignmentTrusted = true
 	for _, notice := range message.GetNotices() {
 		c.broadcast(now, notice)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	"github.com/bronzereach/bronzereach/internal/keys"
 	"github.com/bronzereach/bronzereach/internal/peer"
 	"github.com/bronzereach/bronzereach/internal/platform"
+	"github.com/bronzereach/bronzereach/internal/quota"
 	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/internal/timer"
 	"github.com/bronzereach/bronzereach/internal/util"
@@ -86,6 +87,8 @@
 	// adapter connects to another platform; nil on the product's own.
 	adapter           Adapter
 	unreadableNotices *unreadableNotices
+	// quotas keeps the quotas of teams; nil on the product's own platform, which has none.
+	quotas *quota.Manager
 	// memoryLimit is how much memory the process may have; 0 if that is not known. memory
 	// bounds what it holds for others; nil then.
 	memoryLimit memory.Bytes
@@ -223,6 +226,8 @@
 	n.registry.MustRegister(memoryCollectors(n.memory)...)
 	handler := n.handler()
 	if n.options.NewAdapter != nil {
+		n.quotas = n.newQuotas()
+		n.registry.MustRegister(n.quotas.Collectors()...)
 		n.adapter = n.options.NewAdapter(n)
 		n.registry.MustRegister(n.adapter.Collectors()...)
 		handler = n.adapter.Handler()
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -14,6 +14,7 @@
 	"github.com/bronzereach/bronzereach/pkg/budget"
 	"github.com/bronzereach/bronzereach/pkg/document"
 	"github.com/bronzereach/bronzereach/pkg/memory"
+	"github.com/bronzereach/bronzereach/pkg/quota"
 )
 
 // Options are a node's settings.
@@ -73,6 +74,8 @@
 	AddressListTTL time.Duration
 	// Budget limits retries and hedges over all nodes.
 	Budget budget.Config
+	// Quota is by how much requests of a team may exceed its quota.
+	Quota quota.Tolerance
 }
 
 // Production is the environment that accepts only documents that passed a trial.
@@ -178,6 +181,8 @@
 const (
 	minBudgetPeriod    = 100 * time.Millisecond
 	maxMemoryMegabytes = 1 << 30
+	// minQuotaWindow is about as long as a node takes to see a change of the members.
+	minQuotaWindow = time.Second
 )
 
 // readMemory reads the memory that the process may use. It may also stand in the table
@@ -211,6 +216,7 @@
 			Period: table.DurationOr("extraAttemptsPeriod", defaultBudgetPeriod),
 		},
 	}
+	foreign.Quota = readQuotaTolerance(table)
 	if foreign.Budget.Period < minBudgetPeriod {
 		table.Problemf("extraAttemptsPeriod", "extraAttemptsPeriod must be %s or more", minBudgetPeriod)
 	}
@@ -218,6 +224,19 @@
 	return foreign
 }
 
+// readQuotaTolerance reads by how much the quotas of teams may be exceeded.
+func readQuotaTolerance(table *document.Table) quota.Tolerance {
+	tolerance := quota.Tolerance{
+		Window:  table.DurationOr("quotaWindow", quota.DefaultWindow),
+		Overage: table.NumberOr("quotaOverage", 0),
+		Slack:   table.NumberOr("quotaSlack", 0),
+	}
+	if tolerance.Window < minQuotaWindow {
+		table.Problemf("quotaWindow", "quotaWindow must be %s or more", minQuotaWindow)
+	}
+	return tolerance
+}
+
 func readAddress(root *document.Table, key string) string {
 	address := root.Text(key)
 	if _, _, err := net.SplitHostPort(address); address != "" && err != nil {
--- a/internal/node/options_test.go
+++ b/internal/node/options_test.go
@@ -13,7 +13,7 @@
 	f.Add([]byte("vm = \"vm-1\"\navailabilityZone = \"z\"\ncallerAddress = \"127.0.0.1:1\"\npeerAddress = \"127.0.0.1:2\"\nplatform = \"http://127.0.0.1:3\"\n"))
 	f.Add([]byte("vm = \"vm-1\"\navailabilityZone = \"z\"\ncallerAddress = \"a:1\"\npeerAddress = \"a:2\"\nleaveTime = \"4s\"\ncores = 0.5\n[foreign]\nstore = \"a:3\"\nreadiness = \"a:4\"\ndirectory = \"a:5\"\nmetrics = \"a:6\"\nmemoryMegabytes = 184\nextraAttemptsRatio = 0.2\nextraAttemptsSlack = 630\nextraAttemptsPeriod = \"10s\"\n"))
 	const foreign = "vm = \"vm-1\"\navailabilityZone = \"z\"\ncallerAddress = \"a:1\"\npeerAddress = \"a:2\"\n%s[foreign]\nstore = \"a:3\"\nreadiness = \"a:4\"\ndirectory = \"a:5\"\nmetrics = \"a:6\"\n%s"
-	for _, setting := range []string{"memoryMegabytes = 1e300", "memoryMegabytes = inf", "extraAttemptsRatio = inf", "extraAttemptsSlack = inf", "extraAttemptsPeriod = \"1ns\"", "addressLife = \"1ns\""} {
+	for _, setting := range []string{"memoryMegabytes = 1e300", "memoryMegabytes = inf", "extraAttemptsRatio = inf", "extraAttemptsSlack = inf", "extraAttemptsPeriod = \"1ns\"", "addressLife = \"1ns\"", "quotaWindow = \"5s\"\nquotaOverage = 0.1\nquotaSlack = 20", "quotaWindow = \"1ns\"", "quotaOverage = inf", "quotaSlack = -1"} {
 		f.Add(fmt.Appendf(nil, foreign, "", setting))
 	}
 	f.Add(fmt.Appendf(nil, foreign, "cores = inf\n", ""))
@@ -33,6 +33,9 @@
 		if foreign.AddressListTTL <= 0 || foreign.Budget.Period < time.Millisecond || !isAmount(foreign.Budget.Ratio) || !isAmount(foreign.Budget.Slack) {
 			t.Errorf("accepted: %+v", *foreign)
 		}
+		if foreign.Quota.Window < time.Second || !isAmount(foreign.Quota.Overage) || !isAmount(foreign.Quota.Slack) {
+			t.Errorf("accepted: %+v", foreign.Quota)
+		}
 	})
 }
 
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -29,6 +29,8 @@
 		reply(send, &wire.Reply{Body: &wire.Reply_Forwarded{Forwarded: forwarded}})
 	case *wire.Call_Release:
 		reply(send, &wire.Reply{Body: &wire.Reply_Released{Released: n.release(body.Release)}})
+	case *wire.Call_Borrow:
+		reply(send, &wire.Reply{Body: &wire.Reply_Lent{Lent: n.quotas.Handle(body.Borrow)}})
 	}
 }
 
--- /dev/null
+++ b/internal/quota/borrow.go
@@ -0,0 +1,121 @@
+package quota
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/bronzereach/bronzereach/internal/wire"
+	"github.com/bronzereach/bronzereach/pkg/quota"
+)
+
+// borrowTimeout is how long the lender may take to answer. Requests wait for it.
+const borrowTimeout = 50 * time.Millisecond
+
+// ErrUnsupported is returned by Peers.Borrow if the node ended the call without an answer,
+// as builds do that don't know the call.
+var ErrUnsupported = errors.New("the node doesn't lend tokens")
+
+// borrow asks the lender of a team for tokens until no request waits any more.
+type borrow struct {
+	manager *Manager
+	account *account
+}
+
+// run performs the borrow.
+func (b *borrow) run() {
+	for b.round() {
+	}
+}
+
+// round asks the lender once and reports whether requests still wait.
+func (b *borrow) round() bool {
+	m, a := b.manager, b.account
+	m.mu.Lock()
+	asked := m.config.Now()
+	want := a.borrower.Want(asked, len(a.waiters))
+	lender := quota.Choose(a.team, m.candidates)
+	if len(a.waiters) == 0 {
+		a.borrowing = false
+		m.mu.Unlock()
+		return false
+	}
+	m.noteLender(a, lender)
+	message := &wire.Borrow{Team: a.team, Want: uint32(min(want, maxWant)), PerSecond: a.quota.PerSecond, Burst: a.quota.Burst, ConfigVersion: a.version}
+	m.mu.Unlock()
+
+	var lent *wire.Lent
+	err := errNoLender
+	if lender != "" && lender != m.config.VM {
+		lent, err = b.ask(lender, message)
+	}
+
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	now := m.config.Now()
+	m.outdated.note(lender, err)
+	if lender == m.config.VM {
+		m.settle(now, asked, a, m.lend(now, a, len(a.waiters)))
+	} else {
+		m.settle(now, asked, a, m.loanOf(now, a, lent, err))
+	}
+	b.answerWaiters(now)
+	a.borrowing = len(a.waiters) > 0
+	return a.borrowing
+}
+
+// errNoLender is the error if no member can be the lender.
+var errNoLender = errors.New("no member is known that lends tokens")
+
+// ask sends the message to the lender.
+func (b *borrow) ask(lender string, message *wire.Borrow) (*wire.Lent, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), borrowTimeout)
+	defer cancel()
+	return b.manager.config.Peers.Borrow(ctx, lender, message)
+}
+
+// loanOf converts the lender's answer, and counts it.
+func (m *Manager) loanOf(now time.Duration, a *account, lent *wire.Lent, err error) quota.Loan {
+	switch {
+	case err != nil:
+		m.metrics.countBorrow(borrowFailed)
+		m.logUnreachable(now, a, err)
+		return quota.Loan{}
+	case !lent.GetLender():
+		m.metrics.countBorrow(borrowNotLender)
+		return quota.Loan{}
+	case lent.GetGranted() > 0:
+		m.metrics.countBorrow(borrowGranted)
+	default:
+		m.metrics.countBorrow(borrowDenied)
+	}
+	return quota.Loan{
+		Granted: int(lent.GetGranted()),
+		Wait:    time.Duration(max(0, lent.GetWaitMicros())) * time.Microsecond,
+		Lender:  true,
+	}
+}
+
+// answerWaiters gives tokens to the waiters in order of arrival. If the lender denied
+// tokens or could not be asked, the others are refused.
+func (b *borrow) answerWaiters(now time.Duration) {
+	m, a := b.manager, b.account
+	for len(a.waiters) > 0 {
+		r := result{}
+		token, ok := a.borrower.Take(now)
+		denied, known := a.borrower.Denied(now)
+		switch {
+		case ok:
+			r = granted(token)
+		case denied && known:
+			r = m.exceeded(now, a)
+		case denied:
+			r = m.unknown(now, a)
+		default:
+			return
+		}
+		a.waiters[0].result <- r
+		a.waiters = a.waiters[1:]
+	}
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -170,11 +170,14 @@
 	TimedOut
 	// CallerDisconnected means that the caller left before there was an answer.
 	CallerDisconnected
+	// OverQuota means that the team's quota is used up. The request has not run and will
+	// not run later.
+	OverQuota
 )
 
 // String returns the outcome's name.
 func (o Outcome) String() string {
-	return [...]string{"answered", "merged", "refused", "malformed", "noRoute", "failed", "timedOut", "left"}[o]
+	return [...]string{"answered", "merged", "refused", "malformed", "noRoute", "failed", "timedOut", "left", "overQuota"}[o]
 }
 
 // Reason is a one-word reason why a request or a shard has no answer.
@@ -198,6 +201,8 @@
 	ReasonStraggler    Reason = "straggler"
 	ReasonDeadline     Reason = "deadline"
 	ReasonLeaving      Reason = "leaving"
+	ReasonOverQuota    Reason = "overQuota"
+	ReasonQuotaUnknown Reason = "quotaUnknown"
 	// ReasonNoMemory means that the memory was in use by others, ReasonOversized that an
 	// upstream's replies took more than their share of it.
 	ReasonNoMemory  Reason = "noMemory"
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -60,6 +60,8 @@
 	MaxIdle int
 	// Memory bounds what requests and replies take; nil for no bound.
 	Memory *memory.Account
+	// Quotas keeps the quotas of teams; nil for none.
+	Quotas Quotas
 	Log    logr.Logger
 }
 
@@ -390,18 +392,30 @@
 		answer.ConfigVersion = s.table.Version()
 		return answer
 	}
+	ticket, overQuota := r.takeQuota(ctx, request)
+	if overQuota != nil {
+		overQuota.ConfigVersion = s.table.Version()
+		return overQuota
+	}
+	answer := r.forward(ctx, request, s)
+	r.returnQuota(ticket, answer)
+	answer.ConfigVersion = s.table.Version()
+	return answer
+}
+
+// forward sends a request that may be sent to upstreams, and returns its answer.
+func (r *Relay) forward(ctx context.Context, request *Request, s *routingState) *Answer {
 	prepared, err := r.config.Protocol.Prepare(request)
 	if err != nil {
 		r.config.Log.Info("requestMalformed", "requestID", request.ID, "error", err.Error())
-		return &Answer{Outcome: Malformed, Reason: ReasonMalformed, Run: NotRun, ConfigVersion: s.table.Version()}
+		return &Answer{Outcome: Malformed, Reason: ReasonMalformed, Run: NotRun}
 	}
 	request.prepared = prepared
 	f := r.newForwarder(request, s)
 	answer := f.run(ctx)
 	if now := time.Now(); answer.Run == Ran && answer.Outcome != CallerDisconnected {
-		r.answerTimes.add(matched.Name, now, now.Sub(request.Received))
+		r.answerTimes.add(request.Route.Name, now, now.Sub(request.Received))
 	}
-	answer.ConfigVersion = s.table.Version()
 	return answer
 }
 
