--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -59,9 +59,12 @@
 	if c.node.quotas == nil {
 		return
 	}
-	if view := c.node.View(); view != c.quotaView {
+	view := c.node.View()
+	changed := view != c.quotaView
+	if changed {
 		c.quotaView, c.quotaCluster = view, c.clusterOf(view)
 	}
+	c.quotaCluster.Changed = changed
 	c.quotaCluster.Contacts.Exchanged = !c.lastExchange.IsZero()
 	c.quotaCluster.Contacts.SinceExchange = now.Sub(c.lastExchange)
 	c.node.quotas.Update(c.quotaCluster)
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -29,6 +29,8 @@
 const (
 	// sweepInterval is the time between two removals of the state of idle teams.
 	sweepInterval = 10 * time.Second
+	// reachInterval is the time between two looks at all members while none changes.
+	reachInterval = 250 * time.Millisecond
 	// servingPeriod is how long a node counts as one that may use its reserve after it
 	// was last a serving member.
 	servingPeriod = time.Minute
@@ -68,6 +70,8 @@
 	Contacts quota.Contacts
 	// Serving holds the members that serve callers, of which one is the lender of a team.
 	Serving []Member
+	// Changed is true if the lists are others than at the last call of Update.
+	Changed bool
 }
 
 // Manager keeps the quotas of teams. It is safe for concurrent use. A nil Manager grants
@@ -93,7 +97,9 @@
 	// reserveNodes is that number; 0 if this node has no reserve.
 	reserveNodes int
 	share        float64
-	swept        time.Duration
+	// reached is when share was computed last.
+	reached time.Duration
+	swept   time.Duration
 }
 
 // NewManager returns a manager that grants nothing before its first Update.
@@ -129,7 +135,10 @@
 	defer m.mu.Unlock()
 	now := m.config.Now()
 	m.candidates = m.outdated.filter(now, cluster.Serving)
-	m.share = m.reach.Share(now, cluster.Contacts)
+	if cluster.Changed || now-m.reached >= reachInterval {
+		m.reached = now
+		m.share = m.reach.Share(now, cluster.Contacts)
+	}
 	m.lender.Update(now, m.candidates, m.share, cluster.Contacts.IsAlone())
 	m.updateReserve(now, cluster)
 	if now-m.swept >= sweepInterval {
--- a/internal/relay/quota.go
+++ b/internal/relay/quota.go
@@ -34,9 +34,9 @@
 	}
 }
 
-// returnQuota gives back the token of a request that did not run.
+// returnQuota gives back the token of a request that did not run, if it took one.
 func (r *Relay) returnQuota(ticket quota.Ticket, answer *Answer) {
-	if r.config.Quotas != nil && answer.Run == NotRun {
+	if ticket != (quota.Ticket{}) && answer.Run == NotRun {
 		r.config.Quotas.Return(ticket)
 	}
 }
--- a/pkg/quota/borrower.go
+++ b/pkg/quota/borrower.go
@@ -68,7 +68,7 @@
 
 // demandAt returns the number of requests in the last demandTime, on average.
 func (b *Borrower) demandAt(now time.Duration) float64 {
-	return b.demand * math.Exp(-(now - b.demanded).Seconds()/demandTime.Seconds())
+	return b.demand * math.Exp(-(now-b.demanded).Seconds()/demandTime.Seconds())
 }
 
 // Take takes a token that has not expired.
--- a/pkg/quota/cluster_test.go
+++ b/pkg/quota/cluster_test.go
@@ -14,7 +14,7 @@
 	testTeam       = "team"
 	testTick       = 50 * time.Millisecond
 	testTimeout    = 50 * time.Millisecond
-	detectionMin   = 500 * time.Millisecond
+	detectionDelay = 500 * time.Millisecond
 	detectionRange = 2500 * time.Millisecond
 )
 
@@ -145,7 +145,7 @@
 	for _, n := range c.members {
 		for j := range n.sees {
 			if j != n.index {
-				c.after(detectionMin+c.upTo(detectionRange), func() { n.detect(j) })
+				c.after(detectionDelay+c.upTo(detectionRange), func() { n.detect(j) })
 			}
 		}
 	}
--- a/pkg/quota/lender_test.go
+++ b/pkg/quota/lender_test.go
@@ -129,4 +129,8 @@
 	if loan := l.Lend(10*time.Second, older); loan.Granted > 0 {
 		t.Errorf("%+v by an older configuration", loan)
 	}
+	l.Update(10*time.Second+maxSilence/2, []string{"a"}, 1, false)
+	if loan := l.Lend(10*time.Second+maxSilence, older); loan.Granted > 1 {
+		t.Errorf("%+v by an older configuration, 1 s later", loan)
+	}
 }
