Tests of quotas look at members as often as nodes do

Looking at all members on each tick took 270 s of the package's tests with -race. Each guard of pkg/quota and internal/quota was taken out in a scratch copy, and a test failed each time: takeover wait, lifetime, silence, minority, reserve of a new process, isolation, missing and new members, share of the depth, order of candidates, lost teams, shallow buckets.

--- a/pkg/quota/cluster_test.go
+++ b/pkg/quota/cluster_test.go
@@ -13,6 +13,8 @@
 const (
 	testTeam       = "team"
 	testTick       = 50 * time.Millisecond
+	testLook       = 250 * time.Millisecond
+	ticksPerLook   = 5
 	testTimeout    = 50 * time.Millisecond
 	detectionDelay = 500 * time.Millisecond
 	detectionRange = 2500 * time.Millisecond
@@ -32,8 +34,9 @@
 	lost, doubled float64
 	// notRun is the fraction of granted requests that don't run and return their token.
 	notRun float64
-	// tick is the time between two looks at the members; testTick if it is 0.
-	tick time.Duration
+	// look is the time between two looks at the members while none changes; testLook if
+	// it is 0.
+	look time.Duration
 	seed uint64
 }
 
@@ -70,9 +73,11 @@
 	share      float64
 	exchanged  bool
 	contact    time.Duration
-	waiters    int
-	flight     int
-	borrowing  bool
+	// nextLook is when the node looks at the members again; 0 if one has changed.
+	nextLook  time.Duration
+	waiters   int
+	flight    int
+	borrowing bool
 }
 
 type event struct {
@@ -101,7 +106,7 @@
 
 // newCluster returns a cluster whose nodes have been running for a while.
 func newCluster(config clusterConfig) *cluster {
-	config.tick = cmp.Or(config.tick, testTick)
+	config.look = cmp.Or(config.look, testLook)
 	c := &cluster{clusterConfig: config, random: rand.New(rand.NewPCG(config.seed, 1)), version: 1, side: make([]int, config.nodes)}
 	for i := range config.nodes {
 		n := &testNode{c: c, index: i, name: fmt.Sprint("vm-", i), running: true, exchanged: true}
@@ -111,7 +116,7 @@
 		}
 		c.members = append(c.members, n)
 		n.reset()
-		c.after(c.upTo(c.tick), n.tickLoop)
+		c.after(c.upTo(testTick), n.tickLoop)
 	}
 	c.runUntil(10 * time.Second)
 	return c
@@ -157,6 +162,7 @@
 	}
 	n.sees[j] = n.c.connected(n.index, j)
 	n.heard[j] = n.heard[j] || n.sees[j]
+	n.nextLook = 0
 }
 
 // reset gives the node the state of a new process.
@@ -164,7 +170,7 @@
 	n.process++
 	n.lender, n.reach = NewLender(n.name, testTolerance), NewReach(n.c.now)
 	n.borrower = NewBorrower(testTolerance, n.c.now)
-	n.waiters, n.borrowing, n.queued, n.share, n.candidates = 0, false, nil, 0, nil
+	n.waiters, n.borrowing, n.queued, n.share, n.candidates, n.nextLook = 0, false, nil, 0, nil, 0
 }
 
 func (n *testNode) kill() {
@@ -188,6 +194,7 @@
 			copy(n.heard, other.heard)
 			n.sees[n.index], n.sees[j], n.heard[j] = true, true, true
 			other.sees[n.index], other.heard[n.index] = true, true
+			n.nextLook, other.nextLook = 0, 0
 			return
 		}
 	}
@@ -207,13 +214,22 @@
 }
 
 func (n *testNode) tickLoop() {
-	n.c.after(n.c.tick, n.tickLoop)
+	n.c.after(min(n.c.look/ticksPerLook, maxSilence/2), n.tickLoop)
 	if n.running && !n.suspended {
 		n.tick()
 	}
 }
 
 func (n *testNode) tick() {
+	if n.c.now >= n.nextLook {
+		n.nextLook = n.c.now + n.c.look
+		n.lookAtMembers()
+	}
+	n.lender.Update(n.c.now, n.candidates, n.share, len(n.c.members) == 1)
+}
+
+// lookAtMembers updates what depends on the members.
+func (n *testNode) lookAtMembers() {
 	c := n.c
 	contacts := Contacts{Self: n.name, HasPeers: len(c.members) > 1}
 	n.candidates = nil
@@ -233,7 +249,6 @@
 	}
 	contacts.Exchanged, contacts.SinceExchange = n.exchanged, c.now-n.contact
 	n.share = n.reach.Share(c.now, contacts)
-	n.lender.Update(c.now, n.candidates, n.share, contacts.IsAlone())
 }
 
 // deliver runs something at the node if that can receive it.
--- a/pkg/quota/served_test.go
+++ b/pkg/quota/served_test.go
@@ -13,9 +13,9 @@
 	usualFactor = 1.6
 	servedTime  = 30 * time.Second
 	moveSettles = time.Second
-	// steadyTick is the time between two looks at the members. They don't change in these
+	// steadyLook is the time between two looks at the members. They don't change in these
 	// tests, and looking takes most of the time of a run.
-	steadyTick = 500 * time.Millisecond
+	steadyLook = 20 * time.Second
 )
 
 // fleets are the sizes at which quotas are tested.
@@ -53,7 +53,7 @@
 			for _, factor := range []float64{1 / usualFactor, 1.5} {
 				t.Run(fmt.Sprint(fleet.nodes, "/", perSecond, "/", factor), func(t *testing.T) {
 					t.Parallel()
-					c := newCluster(clusterConfig{nodes: fleet.nodes, serving: fleet.serving, quota: route.Quota{PerSecond: perSecond, Burst: 2 * perSecond}, delay: 1400 * time.Microsecond, tick: steadyTick, seed: 3})
+					c := newCluster(clusterConfig{nodes: fleet.nodes, serving: fleet.serving, quota: route.Quota{PerSecond: perSecond, Burst: 2 * perSecond}, delay: 1400 * time.Microsecond, look: steadyLook, seed: 3})
 					start := c.now
 					c.load(start+loadTime(perSecond), factor*perSecond, c.uneven(c.members[:c.serving]))
 					c.runUntil(start + loadTime(perSecond))
@@ -78,7 +78,7 @@
 			for _, factor := range []float64{1 / usualFactor, 1.5} {
 				t.Run(fmt.Sprint(fleet.nodes, "/", perSecond, "/", factor), func(t *testing.T) {
 					t.Parallel()
-					c := newCluster(clusterConfig{nodes: fleet.nodes, serving: fleet.serving, quota: route.Quota{PerSecond: perSecond, Burst: 2 * perSecond}, delay: 1400 * time.Microsecond, tick: steadyTick, seed: 4})
+					c := newCluster(clusterConfig{nodes: fleet.nodes, serving: fleet.serving, quota: route.Quota{PerSecond: perSecond, Burst: 2 * perSecond}, delay: 1400 * time.Microsecond, look: steadyLook, seed: 4})
 					half := c.serving / 2
 					c.load(c.now+10*time.Second, factor*perSecond, c.uneven(c.members[:half]))
 					c.runUntil(c.now + 10*time.Second)
@@ -106,7 +106,7 @@
 		for _, hot := range []float64{1, 5, 7.5, 10} {
 			for _, delay := range []time.Duration{200 * time.Microsecond, 1400 * time.Microsecond, 10 * time.Millisecond} {
 				q := route.Quota{PerSecond: usualFactor * usual, Burst: usualFactor * usual}
-				c := newCluster(clusterConfig{nodes: fleet.nodes, serving: fleet.serving, quota: q, delay: delay, tick: steadyTick, seed: 5})
+				c := newCluster(clusterConfig{nodes: fleet.nodes, serving: fleet.serving, quota: q, delay: delay, look: steadyLook, seed: 5})
 				start := c.now
 				c.load(start+servedTime, hot*usual, c.uneven(c.members[:c.serving]))
 				c.runUntil(start + servedTime)
