--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -15,6 +15,7 @@
 	"github.com/bronzereach/bronzereach/pkg/budget"
 	"github.com/bronzereach/bronzereach/pkg/document"
 	"github.com/bronzereach/bronzereach/pkg/memory"
+	"github.com/bronzereach/bronzereach/pkg/quota"
 )
 
 // Options are a node's settings.
@@ -81,6 +82,8 @@
 	// any second they may get the limit times the overage and the slack.
 	ColdOverage float64
 	ColdSlack   float64
+	// Quota is by how much requests of a team may exceed its quota.
+	Quota quota.Tolerance
 }
 
 // Production is the environment that accepts only documents that passed a trial.
@@ -188,6 +191,8 @@
 const (
 	minBudgetPeriod    = 100 * time.Millisecond
 	maxMemoryMegabytes = 1 << 30
+	// minQuotaWindow is about as long as a node takes to see a change of the members.
+	minQuotaWindow = time.Second
 )
 
 // readMemory reads the memory that the process may use. It may also stand in the table
@@ -221,6 +226,7 @@
 			Period: table.DurationOr("extraAttemptsPeriod", defaultBudgetPeriod),
 		},
 	}
+	foreign.Quota = readQuotaTolerance(table)
 	readZoneOptions(table, foreign)
 	if err := foreign.Check(); err != nil {
 		root.Problemf("foreign", "%s", err)
@@ -239,19 +245,39 @@
 	foreign.ColdSlack = table.NumberOr("coldSlack", defaultColdSlack)
 }
 
+// isAmount reports whether a number is finite and not negative.
+func isAmount(number float64) bool {
+	return number >= 0 && !math.IsInf(number, 1)
+}
+
 // Check returns an error if a tolerance or time is out of its range.
 func (o *ForeignOptions) Check() error {
 	switch {
 	case o.EvacuationTime < 0:
 		return errors.New("evacuationTime must be 0 or more")
-	case !(o.ColdOverage >= 1) || math.IsInf(o.ColdOverage, 1):
+	case !isAmount(o.ColdOverage) || o.ColdOverage < 1:
 		return errors.New("coldOverage must be 1 or more")
-	case !(o.ColdSlack >= 0) || math.IsInf(o.ColdSlack, 1):
+	case !isAmount(o.ColdSlack):
 		return errors.New("coldSlack must be 0 or more")
+	case o.Quota.Window < minQuotaWindow:
+		return errors.Errorf("quotaWindow must be %s or more", minQuotaWindow)
+	case !isAmount(o.Quota.Overage):
+		return errors.New("quotaOverage must be 0 or more")
+	case !isAmount(o.Quota.Slack):
+		return errors.New("quotaSlack must be 0 or more")
 	}
 	return nil
 }
 
+// readQuotaTolerance reads by how much the quotas of teams may be exceeded.
+func readQuotaTolerance(table *document.Table) quota.Tolerance {
+	return quota.Tolerance{
+		Window:  table.DurationOr("quotaWindow", quota.DefaultWindow),
+		Overage: table.NumberOr("quotaOverage", 0),
+		Slack:   table.NumberOr("quotaSlack", 0),
+	}
+}
+
 func readAddress(root *document.Table, key string) string {
 	address := root.Text(key)
 	if _, _, err := net.SplitHostPort(address); address != "" && err != nil {
