Later retries keep to the attempts that the route allows

Cause: asked those upstreams again that had broken off their replies, which bounds the upstreams that run a request but not how often they do. An operator who allows two attempts expects two runs.

Change: later retries are for shards of which fewer attempts than allowed may have run. The retries at tried upstreams and their probes are gone.

--- a/internal/relay/laterretry.go
+++ b/internal/relay/laterretry.go
@@ -16,8 +16,8 @@
 	maxLaterRetries = 4
 )
 
-// laterRetry plans the later retries of a shard whose replicas shed it, broke off their
-// replies, or had no free capacity for a retry. To give the shard up would waste what the
+// laterRetry plans the later retries of a shard whose replicas shed it, or had no free
+// capacity for a retry after one that failed. To give the shard up would waste what the
 // other shards of the query have done already. The zero value has no retry due.
 type laterRetry struct {
 	// count is the number of retries planned so far, at most maxLaterRetries.
@@ -60,13 +60,16 @@
 }
 
 // planLaterRetry plans a retry of a shard whose attempts have all failed, if the request is
-// a query of several shards and an upstream of the shard may be used. It reports whether
-// there is one.
+// a query of several shards, the route allows one more attempt, and an upstream of the shard
+// may be used. It reports whether there is one.
 func (f *forwarder) planLaterRetry(s *shardState) bool {
 	now := time.Now()
 	if len(f.shards) == 1 || !retriesLater(s.reason) || s.retryDenied == ReasonNoBudget {
 		return false
 	}
+	if s.countedAttempts >= f.request.Route.Attempts {
+		return false
+	}
 	if a := s.service.availability(now, f.place()); a.usable == 0 && (a.untilUsable == 0 || a.backsOff) {
 		return false
 	}
@@ -88,19 +91,14 @@
 }
 
 // startLaterRetry starts one more attempt of a shard. Replicas that did not run the request
-// may be tried again. Once as many as the route allows have run it, only those may be.
+// may be tried again.
 func (f *forwarder) startLaterRetry(now time.Time, i int) bool {
 	s := &f.shards[i]
 	if !now.Before(f.plan.answerDeadline) {
 		return false
 	}
 	var chosen *upstreamReplica
-	if len(s.ranReplicas) < f.request.Route.Attempts {
-		chosen, s.retryDenied = s.service.reserveUntriedReplica(now, s.ranReplicas, budget.Retry)
-	} else {
-		chosen, s.retryDenied = s.service.reserveTriedReplica(now, s.ranReplicas)
-	}
-	if chosen == nil {
+	if chosen, s.retryDenied = s.service.reserveUntriedReplica(now, s.ranReplicas, budget.Retry); chosen == nil {
 		return false
 	}
 	f.startAttempt(i, chosen, budget.Retry.String())
--- a/internal/relay/service.go
+++ b/internal/relay/service.go
@@ -193,31 +193,9 @@
 func (s *service) reserveUntriedReplica(now time.Time, tried []*upstreamReplica, cause budget.Cause) (chosen *upstreamReplica, denied Reason) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.reserveExtra(now, s.replicaGroup.Choose(now, tried, s.random), tried, cause)
-}
-
-// reserveTriedReplica is the same for a retry at one of the replicas that have run the
-// request, also if that is paused after failures.
-func (s *service) reserveTriedReplica(now time.Time, ran []*upstreamReplica) (chosen *upstreamReplica, denied Reason) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var others []*upstreamReplica
-	for _, r := range s.replicaGroup.Replicas() {
-		if !slices.Contains(ran, r) {
-			others = append(others, r)
-		}
-	}
-	if chosen = s.replicaGroup.Choose(now, others, s.random); chosen == nil {
-		chosen = s.replicaGroup.Probe(now, others)
-	}
-	return s.reserveExtra(now, chosen, others, budget.Retry)
-}
-
-// reserveExtra reserves a replica that was chosen, nil if there was none among those that
-// are not excluded, for an attempt within the budget.
-func (s *service) reserveExtra(now time.Time, chosen *upstreamReplica, excluded []*upstreamReplica, cause budget.Cause) (reserved *upstreamReplica, denied Reason) {
+	chosen = s.replicaGroup.Choose(now, tried, s.random)
 	switch {
-	case chosen == nil && len(excluded) >= len(s.replicaGroup.Replicas()):
+	case chosen == nil && len(tried) >= len(s.replicaGroup.Replicas()):
 		return nil, ""
 	case chosen == nil:
 		return nil, ReasonNoCapacity
--- a/pkg/replica/group.go
+++ b/pkg/replica/group.go
@@ -206,7 +206,7 @@
 		best = fallback
 	}
 	if best == nil && len(excluded) == 0 {
-		best = g.Probe(now, nil)
+		best = g.probe(now)
 	}
 	return best
 }
@@ -279,7 +279,7 @@
 			wait = remaining
 		}
 	}
-	if count == 0 && g.Probe(now, nil) != nil {
+	if count == 0 && g.probe(now) != nil {
 		count = 1
 	}
 	return count, wait
--- a/pkg/replica/probe.go
+++ b/pkg/replica/probe.go
@@ -1,25 +1,18 @@
 package replica
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // pausedProbeInterval is the time between two probes of a replica that is paused after
 // failures.
 const pausedProbeInterval = 25 * time.Millisecond
 
-// Probe returns the replica that may get one attempt although it is paused after failures,
-// because no replica that is not in excluded may be used; nil if there is none. Upstreams
-// that fail only a part of their requests would else refuse whole queries for the whole
-// pause.
-func (g *Group[C]) Probe(now time.Time, excluded []*Replica[C]) *Replica[C] {
+// probe returns the replica that may get one attempt although it is paused after failures,
+// because no replica of the group may be used; nil if there is none. Upstreams that fail only
+// a part of their requests would else refuse whole queries for the whole pause.
+func (g *Group[C]) probe(now time.Time) *Replica[C] {
 	var earliest *Replica[C]
 	for _, replica := range g.replicas {
 		state := &replica.state
-		if slices.Contains(excluded, replica) {
-			continue
-		}
 		if state.usable(now) {
 			return nil
 		}
