Responses without a valid status of nodes and stores are errors

Cause: net/http's client returns responses with status 000, 099, 600 or +20. pkg/caller and the commands ignored the status and took their JSON for an answer, or a node's state. The body of a 101 that switches protocols is the connection, whose reads don't end with the request's context: pkg/caller and the clients of both stores read the body before they looked at the status, and a call never ended.

Change: httpstatus.CheckFinal refuses them before the body is read. Heads may have 64 KiB in pkg/caller as elsewhere, 10 MB before: interim responses are part of them.

--- a/internal/cli/remote.go
+++ b/internal/cli/remote.go
@@ -20,6 +20,7 @@
 	"github.com/bronzereach/bronzereach/internal/timeline"
 	"github.com/bronzereach/bronzereach/pkg/caller"
 	"github.com/bronzereach/bronzereach/pkg/document"
+	"github.com/bronzereach/bronzereach/pkg/httpstatus"
 	"github.com/bronzereach/bronzereach/pkg/query"
 )
 
@@ -31,7 +32,7 @@
 )
 
 // callNode sends an HTTP request to a node and decodes the JSON of the response. It
-// ignores the status code: the JSON tells whether the call succeeded.
+// ignores which valid status it has: the JSON tells whether the call succeeded.
 func callNode(method, address, path string, body, into any) (err error) {
 	ctx, cancel := context.WithTimeout(context.Background(), operatorTimeout)
 	defer cancel()
@@ -50,6 +51,9 @@
 		return errors.WithStack(err)
 	}
 	defer response.Body.Close()
+	if err := httpstatus.CheckFinal(response); err != nil {
+		return err
+	}
 	text, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err != nil {
 		return errors.WithStack(err)
--- a/internal/platform/client.go
+++ b/internal/platform/client.go
@@ -17,6 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/bronzereach/bronzereach/internal/util"
+	"github.com/bronzereach/bronzereach/pkg/httpstatus"
 )
 
 // Paths, headers and limits of the platform's HTTP API.
@@ -217,6 +218,9 @@
 		return apiResponse{}, errors.WithStack(err)
 	}
 	defer response.Body.Close()
+	if err := httpstatus.CheckFinal(response); err != nil {
+		return apiResponse{}, err
+	}
 	value, err := io.ReadAll(io.LimitReader(response.Body, MaxValueBytes+1))
 	if err != nil {
 		return apiResponse{}, errors.WithStack(err)
--- a/pkg/caller/caller.go
+++ b/pkg/caller/caller.go
@@ -16,6 +16,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/bronzereach/bronzereach/pkg/answer"
+	"github.com/bronzereach/bronzereach/pkg/httpstatus"
 	"github.com/bronzereach/bronzereach/pkg/query"
 )
 
@@ -23,6 +24,8 @@
 const (
 	// maximumAnswer is the largest answer read, in bytes.
 	maximumAnswer = 1 << 30
+	// maximumHead is the largest head of a response, interim responses included, in bytes.
+	maximumHead = 64 << 10
 	// deadlineGrace is how long after its deadline a request is still waited for.
 	deadlineGrace = time.Second
 	// addressTimeout is the timeout of a call for addresses or tickets.
@@ -76,7 +79,7 @@
 func New(config Config) *Client {
 	c := &Client{config: config, http: config.HTTP}
 	if c.http == nil {
-		c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+		c.http = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64, MaxResponseHeaderBytes: maximumHead}}
 	}
 	if c.config.Scheme == "" {
 		c.config.Scheme = "http"
@@ -214,6 +217,9 @@
 		return nil, errors.WithStack(err)
 	}
 	defer response.Body.Close()
+	if err := httpstatus.CheckFinal(response); err != nil {
+		return nil, err
+	}
 	text, err := io.ReadAll(io.LimitReader(response.Body, maximumAnswer))
 	if err != nil {
 		return nil, errors.WithStack(err)
