--- a/internal/load/disturbance.go
+++ b/internal/load/disturbance.go
@@ -28,6 +28,8 @@
 	Silent Effect = "silent"
 	// Endless makes the upstream send replies without end.
 	Endless Effect = "endless"
+	// InvalidStatus makes the upstream send replies without a valid status.
+	InvalidStatus Effect = "invalidStatus"
 	// Leave makes the upstream refuse new requests and report that it is leaving.
 	Leave Effect = "leave"
 	// TellLeaving makes the upstream tell in its replies that it is leaving, while it
@@ -40,13 +42,14 @@
 // effects are the effects that a plan may name. An effect that ends may have an end
 // before that of the run.
 var effects = map[Effect]struct{ ends, leaves bool }{
-	Slow:        {ends: true},
-	Dead:        {},
-	Silent:      {ends: true},
-	Endless:     {ends: true},
-	Leave:       {leaves: true},
-	TellLeaving: {leaves: true},
-	Shed:        {ends: true},
+	Slow:          {ends: true},
+	Dead:          {},
+	Silent:        {ends: true},
+	Endless:       {ends: true},
+	InvalidStatus: {ends: true},
+	Leave:         {leaves: true},
+	TellLeaving:   {leaves: true},
+	Shed:          {ends: true},
 }
 
 // Disturbance is a fault of one upstream, or of a share of all upstreams.
@@ -232,6 +235,8 @@
 		u.InjectFaults(standin.UpstreamFaults{Silent: true})
 	case Endless:
 		u.InjectFaults(standin.UpstreamFaults{Endless: d.Endless})
+	case InvalidStatus:
+		u.InjectFaults(standin.UpstreamFaults{InvalidStatus: true})
 	case Shed:
 		u.InjectFaults(standin.UpstreamFaults{Shed: true, RetryAfter: d.RetryAfter})
 	case Dead:
--- a/internal/load/played_test.go
+++ b/internal/load/played_test.go
@@ -75,6 +75,19 @@
 	}
 }
 
+// TestInvalidStatusIsNoAnswer plays upstreams whose whole replies have no valid status. If one
+// of three sends them, the others serve on; if all do, no caller gets one as its answer.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	_, row := playDisturbance(t, "service = \"orders\"\nreplica = 1\neffect = \"invalidStatus\"")
+	if row.Offered == 0 || row.Answered < row.Offered*9/10 {
+		t.Errorf("%d of %d requests were answered", row.Answered, row.Offered)
+	}
+	_, row = playDisturbance(t, "share = \"100%\"\neffect = \"invalidStatus\"")
+	if row.Offered == 0 || row.Answered > 0 {
+		t.Errorf("%d of %d requests were answered", row.Answered, row.Offered)
+	}
+}
+
 // TestSlowCallersHinderNobody plays callers that stall in each part of an exchange: others are
 // served by nodes with little memory.
 func TestSlowCallersHinderNobody(t *testing.T) {
--- a/internal/standin/upstream.go
+++ b/internal/standin/upstream.go
@@ -62,6 +62,8 @@
 	// Endless sends a reply without an end in this part in place of each reply; empty for
 	// none.
 	Endless EndlessPart
+	// InvalidStatus sends each reply with a status that is none.
+	InvalidStatus bool
 	// Silent accepts requests and never replies.
 	Silent bool
 	// Slowdown is a factor on service times; 0 means 1.
@@ -479,6 +481,10 @@
 	faults := u.faults
 	u.mu.Unlock()
 	faults.applyTo(&reply)
+	if faults.InvalidStatus {
+		sendInvalidStatus(w, reply)
+		return
+	}
 	if !faults.Truncate {
 		writeJSON(w, reply)
 		return
