A new lender lends once the others have confirmed it

A new lender of a team lent nothing for up to 3 s, and a node that had just started for 3 s, since the former lender might still lend. Now it asks the other candidates and the former lenders whether they take it for the lender, and lends when all do; otherwise the waits hold as before. A former lender lends on for 0.5 s or until it confirms another one. TestLostTeamIsDropped expected the bucket to be gone at once; it now checks that it is gone after 0.5 s, and that a node that is the lender again within that time waits as before.

A node that has just started and is confirmed only by such nodes lends 0.65 of its share without a burst until 3 s after its start.

TestFormerLenderYields and TestAllMustConfirm were seen to fail without the code that they guard, except that the age of a late answer is checked in two places.

--- a/pkg/quota/lender.go
+++ b/pkg/quota/lender.go
@@ -42,6 +42,8 @@
 	Wait time.Duration
 	// Lender is false if the node is not the lender of the team, or not yet.
 	Lender bool
+	// Began tells, in the first answer after the node has begun to lend, by which rule.
+	Began Rule
 }
 
 // candidateSet is the candidates from a time on.
@@ -57,8 +59,18 @@
 	version uint64
 	// lendsFrom is when the node may lend the first token.
 	lendsFrom time.Duration
+	// settlesAt is until when only a part of the quota is lent, see settleShare; 0 if all
+	// is lent.
+	settlesAt time.Duration
+	// yieldsAt is until when the node lends although it is not the lender any more, unless
+	// it has confirmed another one; 0 if it is the lender.
+	yieldsAt  time.Duration
 	lastAsked time.Duration
 	promises  promises
+	// confirmations are those of other members that lendsFrom need not be awaited.
+	confirmations confirmations
+	// rule is by which the node began to lend if the next Loan is to tell it.
+	rule Rule
 }
 
 // Lender lends the tokens of the teams that its node is the lender of.
@@ -69,6 +81,8 @@
 	updated time.Duration
 	share   float64
 	alone   bool
+	// asked is the time of the last Questions.
+	asked time.Duration
 	// history holds the candidates, the current ones last. The first entry begins when the
 	// node started, was suspended last, or got contact with more members while it was in
 	// contact with a minority: another node may have lent the same quota until then.
@@ -97,9 +111,7 @@
 	for len(l.history) > maxHistory || len(l.history) > 1 && now-l.history[1].since >= historyTime {
 		l.history = l.history[1:]
 	}
-	if changed {
-		l.dropOthers()
-	}
+	l.yieldOthers(now)
 	if share != l.share {
 		l.share = share
 		for _, a := range l.accounts {
@@ -108,10 +120,16 @@
 	}
 }
 
-// dropOthers drops the buckets of teams that the node is not the lender of.
-func (l *Lender) dropOthers() {
-	for team := range l.accounts {
-		if !l.Leads(team) {
+// yieldOthers drops the buckets of teams that the node is not the lender of, or has not been
+// meanwhile. From one that it lends of it does so for a little longer.
+func (l *Lender) yieldOthers(now time.Duration) {
+	for team, a := range l.accounts {
+		leads := l.Leads(team)
+		switch {
+		case a.yieldsAt == 0 && leads:
+		case a.yieldsAt == 0 && now >= a.lendsFrom:
+			a.yieldsAt = now + yieldTime
+		case leads || now >= a.yieldsAt:
 			delete(l.accounts, team)
 		}
 	}
@@ -132,39 +150,50 @@
 	return len(l.history) > 0 && Choose(team, l.history[len(l.history)-1].candidates) == l.self
 }
 
+// Lends reports whether the node is the lender of a team, or still lends its tokens.
+func (l *Lender) Lends(now time.Duration, team string) bool {
+	a := l.accounts[team]
+	return l.Leads(team) || a != nil && now < a.yieldsAt
+}
+
 // Lend lends tokens.
 func (l *Lender) Lend(now time.Duration, d Demand) Loan {
-	if now-l.updated >= maxSilence || l.share <= 0 || !l.Leads(d.Team) {
+	if now-l.updated >= maxSilence || l.share <= 0 || !l.Lends(now, d.Team) {
 		return Loan{}
 	}
 	a := l.account(now, d)
 	if now < a.lendsFrom {
 		return Loan{Wait: a.lendsFrom - now}
 	}
+	began := a.rule
+	a.rule = Unchanged
 	if !a.quota.Limited() {
-		return Loan{Granted: d.Want, Lender: true}
+		return Loan{Granted: d.Want, Lender: true, Began: began}
 	}
 	if granted := a.bucket.Take(now, d.Want); granted > 0 || d.Want == 0 {
-		return Loan{Granted: granted, Lender: true}
+		return Loan{Granted: granted, Lender: true, Began: began}
 	}
 	gap := seconds(1 / (a.quota.PerSecond * l.share))
-	return Loan{Wait: a.promises.wait(now, now+a.bucket.Wait(now), gap, maxNodeSpread), Lender: true}
+	return Loan{Wait: a.promises.wait(now, now+a.bucket.Wait(now), gap, maxNodeSpread), Lender: true, Began: began}
 }
 
 // account returns the bucket of a team with the quota of the highest version heard of.
 func (l *Lender) account(now time.Duration, d Demand) *account {
 	a := l.accounts[d.Team]
 	if a == nil {
-		lendsFrom := l.lendsFrom(d)
-		missing := 0.0
-		if l.tolerance.depth(d.Quota)*l.share < 1 {
-			missing = phase(d.Team, l.self)
+		lendsFrom, c := l.takeover(now, d)
+		a = &account{bucket: l.newBucket(lendsFrom, d.Team, d.Quota), quota: d.Quota, version: d.Version, lendsFrom: lendsFrom, confirmations: c}
+		if now < lendsFrom {
+			a.rule = Waited
 		}
-		a = &account{bucket: NewBucket(lendsFrom, missing), quota: d.Quota, version: d.Version, lendsFrom: lendsFrom}
 		l.setLimit(lendsFrom, a)
 		l.accounts[d.Team] = a
 	}
 	a.lastAsked = now
+	if a.settlesAt > 0 && now >= a.settlesAt {
+		a.settlesAt = 0
+		l.setLimit(now, a)
+	}
 	if d.Version > a.version {
 		a.quota, a.version = d.Quota, d.Version
 		l.setLimit(now, a)
@@ -172,25 +201,43 @@
 	return a
 }
 
+// newBucket returns the empty bucket of a team.
+func (l *Lender) newBucket(at time.Duration, team string, q route.Quota) *Bucket {
+	missing := 0.0
+	if l.tolerance.depth(q)*l.share < 1 {
+		missing = phase(team, l.self)
+	}
+	return NewBucket(at, missing)
+}
+
 // setLimit sets the limits of a bucket to the share of its quota.
 func (l *Lender) setLimit(now time.Duration, a *account) {
-	a.bucket.SetLimit(now, a.quota.PerSecond*l.share, l.tolerance.depth(a.quota)*l.share)
+	q, share := a.quota, l.share
+	if a.settlesAt > 0 {
+		q.Burst, share = 0, share*settleShare
+	}
+	a.bucket.SetLimit(now, q.PerSecond*share, l.tolerance.depth(q)*share)
 }
 
-// lendsFrom returns from when on the node may lend tokens of a team: it must have been the
-// lender for a while.
-func (l *Lender) lendsFrom(d Demand) time.Duration {
+// takeover returns from when on the node may lend tokens of a team, and by which
+// confirmations earlier: it must have been the lender for a while.
+func (l *Lender) takeover(now time.Duration, d Demand) (lendsFrom time.Duration, c confirmations) {
 	i := len(l.history) - 1
 	for i > 0 && Choose(d.Team, l.history[i-1].candidates) == l.self {
 		i--
 	}
-	since := l.history[i].since
+	since, started := l.history[i].since, l.history[0].since
+	c = confirmations{earliest: max(since, started+settleTime), asked: now - askInterval, given: map[string]time.Duration{}}
+	if now < started+fullTakeoverWait {
+		c.settlesAt = started + fullTakeoverWait
+	}
 	switch {
 	case l.alone || !d.Quota.Limited():
-		return since
+		lendsFrom = since
 	case i == 0:
-		return since + fullTakeoverWait
+		lendsFrom = since + fullTakeoverWait
 	default:
-		return since + l.tolerance.takeoverWait(d.Quota)
+		lendsFrom = since + l.tolerance.takeoverWait(d.Quota)
 	}
+	return lendsFrom, c
 }
