--- a/internal/node/quotas.go
+++ b/internal/node/quotas.go
@@ -40,18 +40,30 @@
 
 // Borrow implements quota.Peers.
 func (p quotaPeers) Borrow(ctx context.Context, vm string, message *wire.Borrow) (*wire.Lent, error) {
-	m := p.node.View().Members[vm]
-	reply, err := p.node.network.CallUnary(ctx, vm, m.PeerAddress, &wire.Call{Body: &wire.Call_Borrow{Borrow: message}})
-	if errors.Is(err, io.EOF) && ctx.Err() == nil {
-		return nil, quota.ErrUnsupported
+	reply, err := p.call(ctx, vm, &wire.Call{Body: &wire.Call_Borrow{Borrow: message}})
+	if err == nil && reply.GetLent() == nil {
+		err = quota.ErrUnsupported
 	}
-	if err != nil {
-		return nil, err
+	return reply.GetLent(), err
+}
+
+// Leads implements quota.Peers.
+func (p quotaPeers) Leads(ctx context.Context, vm string, message *wire.Leads) (*wire.LeadsReply, error) {
+	reply, err := p.call(ctx, vm, &wire.Call{Body: &wire.Call_Leads{Leads: message}})
+	if err == nil && reply.GetLeads() == nil {
+		err = quota.ErrUnsupported
 	}
-	if reply.GetLent() == nil {
+	return reply.GetLeads(), err
+}
+
+// call sends a call. It returns quota.ErrUnsupported if it ends without a reply.
+func (p quotaPeers) call(ctx context.Context, vm string, call *wire.Call) (*wire.Reply, error) {
+	m := p.node.View().Members[vm]
+	reply, err := p.node.network.CallUnary(ctx, vm, m.PeerAddress, call)
+	if errors.Is(err, io.EOF) && ctx.Err() == nil {
 		return nil, quota.ErrUnsupported
 	}
-	return reply.GetLent(), nil
+	return reply, err
 }
 
 // updateQuotas passes the members to what keeps the quotas.
--- a/internal/node/serve.go
+++ b/internal/node/serve.go
@@ -31,6 +31,8 @@
 		reply(send, &wire.Reply{Body: &wire.Reply_Released{Released: n.release(body.Release)}})
 	case *wire.Call_Borrow:
 		reply(send, &wire.Reply{Body: &wire.Reply_Lent{Lent: n.quotas.Handle(body.Borrow)}})
+	case *wire.Call_Leads:
+		reply(send, &wire.Reply{Body: &wire.Reply_Leads{Leads: n.quotas.HandleLeads(body.Leads)}})
 	}
 }
 
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -46,6 +46,9 @@
 	// Borrow asks a node for tokens. It returns ErrUnsupported if the node seems to run a
 	// build that doesn't know the call.
 	Borrow(ctx context.Context, vm string, message *wire.Borrow) (*wire.Lent, error)
+	// Leads asks a node whether it takes this one for the lender of teams. It returns
+	// ErrUnsupported like Borrow.
+	Leads(ctx context.Context, vm string, message *wire.Leads) (*wire.LeadsReply, error)
 }
 
 // Config configures a Manager.
@@ -140,6 +143,7 @@
 		m.share = m.reach.Share(now, cluster.Contacts)
 	}
 	m.lender.Update(now, m.candidates, m.share, cluster.Contacts.IsAlone())
+	m.askMembers(now)
 	m.updateReserve(now, cluster)
 	if now-m.swept >= sweepInterval {
 		m.swept = now
@@ -201,7 +205,7 @@
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	loan := m.lender.Lend(m.config.Now(), d)
+	loan := m.lendTo(m.config.Now(), d)
 	if !loan.Lender && loan.Wait == 0 {
 		m.probe(quota.Choose(d.Team, m.candidates))
 	}
--- a/internal/quota/metrics.go
+++ b/internal/quota/metrics.go
@@ -129,3 +129,10 @@
 	}
 	a.lender = lender
 }
+
+// logBegan logs that this node has begun to lend the tokens of a team, and by which rule.
+func (m *Manager) logBegan(team string, rule quota.Rule) {
+	if rule != quota.Unchanged && m.logLimit.Allow() {
+		m.config.Log.Info("quotaLendingBegan", "team", team, "rule", rule.String(), "share", m.share)
+	}
+}
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -108,7 +108,7 @@
 	} else if denied {
 		return m.unknown(now, a), true
 	}
-	if !m.lender.Leads(a.team) {
+	if !m.lender.Lends(now, a.team) {
 		return result{}, false
 	}
 	m.noteLender(a, m.config.VM)
@@ -124,7 +124,7 @@
 
 // lend lends tokens of this node's own lender.
 func (m *Manager) lend(now time.Duration, a *account, want int) quota.Loan {
-	return m.lender.Lend(now, quota.Demand{Team: a.team, Want: want, Quota: a.quota, Version: a.version})
+	return m.lendTo(now, quota.Demand{Team: a.team, Want: want, Quota: a.quota, Version: a.version})
 }
 
 // settle passes a loan to the borrower.
