--- a/pkg/assignment/assignment.go
+++ b/pkg/assignment/assignment.go
@@ -86,7 +86,7 @@
 	var top, second scoredMember
 	var gateScore uint64
 	for i, member := range members {
-		score := combineHashes(service, member) | 1
+		score := CombineHashes(service, member) | 1
 		candidate := scoredMember{position: int32(i), score: score}
 		if score > top.score {
 			top, second = candidate, top
@@ -114,8 +114,8 @@
 	score    uint64
 }
 
-// combineHashes combines two hashes into a score.
-func combineHashes(a, b uint64) uint64 {
+// CombineHashes combines the hashes of two names into a score for rendezvous hashing.
+func CombineHashes(a, b uint64) uint64 {
 	high, low := bits.Mul64(a^0x9e3779b97f4a7c15, b^0xbf58476d1ce4e5b9)
 	mixed := high ^ low
 	high, low = bits.Mul64(mixed^0x94d049bb133111eb, 0x9e3779b97f4a7c15)
