Callers of a new lender are told when it may lend

After a restart of all nodes callers got 503 quotaUnknown with a Retry-After of 50 ms, returned while the new lenders still had to wait for up to a second, and had no further try. The lender passes the rest of that time on now, to its own callers and to borrowers, and callers are spread behind it.

TestCallersOfANewLenderAreToldWhenItLends: without the change each is told 50 ms.

--- a/internal/quota/borrow.go
+++ b/internal/quota/borrow.go
@@ -88,7 +88,7 @@
 		return quota.Loan{}
 	case !lent.GetLender():
 		m.metrics.countBorrow(borrowNotLender)
-		return quota.Loan{}
+		return quota.Loan{Settles: boundedWait(lent)}
 	case lent.GetGranted() > 0:
 		m.metrics.countBorrow(borrowGranted)
 	default:
@@ -96,11 +96,16 @@
 	}
 	return quota.Loan{
 		Granted: int(min(lent.GetGranted(), want)),
-		Wait:    time.Duration(min(max(0, lent.GetWaitMicros()), maxWait.Microseconds())) * time.Microsecond,
+		Wait:    boundedWait(lent),
 		Lender:  true,
 	}
 }
 
+// boundedWait returns the wait that an answer names, as far as it can be true.
+func boundedWait(lent *wire.Lent) time.Duration {
+	return time.Duration(min(max(0, lent.GetWaitMicros()), maxWait.Microseconds())) * time.Microsecond
+}
+
 // answerWaiters gives tokens to the waiters in order of arrival. If the lender denied
 // tokens or could not be asked, the others are refused.
 func (b *borrow) answerWaiters(now time.Duration) {
--- a/internal/quota/manager.go
+++ b/internal/quota/manager.go
@@ -214,7 +214,11 @@
 	if !loan.Lender && loan.Wait == 0 {
 		m.probe(quota.Choose(d.Team, m.candidates))
 	}
-	return &wire.Lent{Granted: uint32(loan.Granted), WaitMicros: loan.Wait.Microseconds(), Lender: loan.Lender}
+	wait := loan.Wait
+	if !loan.Lender {
+		wait = loan.Settles
+	}
+	return &wire.Lent{Granted: uint32(loan.Granted), WaitMicros: wait.Microseconds(), Lender: loan.Lender}
 }
 
 // isUnknown reports whether a message names a team that this node's configuration, which is
--- a/internal/quota/take.go
+++ b/internal/quota/take.go
@@ -132,7 +132,7 @@
 func (m *Manager) settle(now, asked time.Duration, a *account, loan quota.Loan) {
 	switch {
 	case !loan.Lender:
-		a.borrower.Lose(now)
+		a.borrower.Lose(now, loan.Settles)
 	case loan.Granted > 0:
 		a.borrower.Add(now, asked, loan.Granted)
 	default:
@@ -155,7 +155,7 @@
 		return granted(token)
 	}
 	a.rejected++
-	return result{verdict: quota.UnknownVerdict()}
+	return result{verdict: a.borrower.UnknownVerdict(now, max(1, len(m.candidates)))}
 }
 
 // await waits for the verdict on a request. A token that it gets too late is returned.
--- a/pkg/quota/borrower.go
+++ b/pkg/quota/borrower.go
@@ -41,6 +41,8 @@
 	deniedUntil time.Duration
 	denialKnown bool
 	promises    promises
+	// settlesAt is when a new lender that could not lend yet may do so.
+	settlesAt time.Duration
 	// reserveUsed is the number of uses of the reserve within a window before
 	// reserveUsedAt, or since then.
 	reserveUsed   int
@@ -93,7 +95,7 @@
 // RetryAfter returns how long a refused caller is to wait. Of the tokens that come, every
 // one of the given number of nodes gets its part.
 func (b *Borrower) RetryAfter(now time.Duration, nodes int) time.Duration {
-	return b.promises.wait(now, b.deniedUntil, seconds(float64(nodes)/b.quota.PerSecond), maxCallerSpread)
+	return b.promises.wait(now, b.deniedUntil, b.gap(nodes), maxCallerSpread)
 }
 
 // Want returns for how many tokens the lender is asked if the given number of requests
@@ -131,9 +133,27 @@
 	b.deniedUntil, b.denialKnown = now+wait, true
 }
 
-// Lose notes that the lender could not be asked.
-func (b *Borrower) Lose(now time.Duration) {
+// Lose notes that the lender could not be asked, or is a new one that may lend only after
+// the given time. It is asked again soon, as others may be confirmed sooner.
+func (b *Borrower) Lose(now, settles time.Duration) {
 	b.deniedUntil, b.denialKnown = now+unknownWait, false
+	b.settlesAt = now + settles
+}
+
+// UnknownVerdict returns the verdict on a request while the lender could not be asked. Callers
+// of a new lender are told when it may lend: those that return before are refused again.
+func (b *Borrower) UnknownVerdict(now time.Duration, nodes int) Verdict {
+	verdict := UnknownVerdict()
+	if b.settlesAt > now {
+		verdict.Wait = max(verdict.Wait, b.promises.wait(now, b.settlesAt, b.gap(nodes), maxCallerSpread))
+	}
+	return verdict
+}
+
+// gap is the time between two tokens for this node if every one of the given number of nodes
+// gets its part.
+func (b *Borrower) gap(nodes int) time.Duration {
+	return seconds(float64(nodes) / b.quota.PerSecond)
 }
 
 // Reserve takes a token of the node's own reserve, which is its part of the tolerance
--- a/pkg/quota/cluster_test.go
+++ b/pkg/quota/cluster_test.go
@@ -401,7 +401,7 @@
 	n.borrowing = false
 	switch {
 	case !loan.Lender:
-		n.borrower.Lose(now)
+		n.borrower.Lose(now, loan.Settles)
 	case loan.Granted > 0:
 		n.borrower.Add(now, asked, loan.Granted)
 	default:
--- a/pkg/quota/lender.go
+++ b/pkg/quota/lender.go
@@ -44,6 +44,8 @@
 	Wait time.Duration
 	// Lender is false if the node is not the lender of the team, or not yet.
 	Lender bool
+	// Settles is, during a takeover, the time until the node may lend if others confirm it.
+	Settles time.Duration
 	// Began tells, in the first answer after the node has begun to lend, by which rule.
 	Began Rule
 }
@@ -165,7 +167,7 @@
 	}
 	a := l.account(now, d)
 	if now < a.lendsFrom {
-		return Loan{Wait: a.lendsFrom - now}
+		return Loan{Wait: a.lendsFrom - now, Settles: max(0, a.confirmations.earliest-now)}
 	}
 	began := a.rule
 	a.rule = Unchanged
