--- a/internal/peer/handshakes.go
+++ b/internal/peer/handshakes.go
@@ -2,6 +2,8 @@
 
 import (
 	"container/list"
+	"context"
+	"crypto/tls"
 	"net"
 	"sync"
 )
@@ -39,3 +41,23 @@
 	defer h.mu.Unlock()
 	h.conns.Remove(position)
 }
+
+// accept makes a link of a connection whose position among the handshakes is given.
+func (n *Network) accept(ctx context.Context, conn net.Conn, position *list.Element) {
+	if n.config.TLS != nil {
+		conn = tls.Server(conn, n.config.TLS)
+	}
+	l, err := newLink(conn, false, n.hello(), &n.Traffic)
+	n.handshakes.end(position)
+	if err != nil {
+		_ = conn.Close()
+		return
+	}
+	n.mu.Lock()
+	n.openLinks.Add(l)
+	if _, found := n.links[l.vm]; !found {
+		n.links[l.vm] = l
+	}
+	n.mu.Unlock()
+	n.loop(ctx, l)
+}
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -5,7 +5,6 @@
 
 import (
 	"bufio"
-	"container/list"
 	"context"
 	"crypto/tls"
 	"fmt"
@@ -133,26 +132,6 @@
 	}
 }
 
-// accept makes a link of a connection whose position among the handshakes is given.
-func (n *Network) accept(ctx context.Context, conn net.Conn, position *list.Element) {
-	if n.config.TLS != nil {
-		conn = tls.Server(conn, n.config.TLS)
-	}
-	l, err := newLink(conn, false, n.hello(), &n.Traffic)
-	n.handshakes.end(position)
-	if err != nil {
-		_ = conn.Close()
-		return
-	}
-	n.mu.Lock()
-	n.openLinks.Add(l)
-	if _, found := n.links[l.vm]; !found {
-		n.links[l.vm] = l
-	}
-	n.mu.Unlock()
-	n.loop(ctx, l)
-}
-
 func (n *Network) hello() *wire.Hello {
 	return &wire.Hello{Vm: n.config.VM, Incarnation: n.config.Process}
 }
