Review case 8: a quota is lent twice after a restart during a cut

Cause: a process that has started counts only the members that it has heard of since, so that two machines that are cut off take themselves for the whole and lend all of a tenant's quota, while the others lend on.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -18,6 +18,7 @@
 var cases = map[string]func(record string) (violated bool, err error){
 	"config":     configUnread,
 	"evacuation": evacuationUnread,
+	"quota":      quotaTwice,
 }
 
 func main() {
--- a/review/stage/world.go
+++ b/review/stage/world.go
@@ -26,7 +26,7 @@
 }
 
 // ports are the same on all machines.
-type ports struct{ front, ready, control, directory, store int }
+type ports struct{ front, ready, control, directory, store, peer int }
 
 // world holds the stand-ins and the processes of one case.
 type world struct {
@@ -36,6 +36,9 @@
 	nodes   []*node
 	ports   ports
 	bounds  string
+	// proxied is true if the machines reach each other through links.
+	proxied bool
+	links   *links
 	record  *os.File
 	start   time.Time
 
@@ -90,10 +93,10 @@
 // choosePorts finds ports that are free on all machines.
 func (w *world) choosePorts(machines int) error {
 	for base := 18200; base < 19500; base += 20 {
-		p := ports{front: base, ready: base + 1, control: base + 2, directory: base + 3, store: base + 4}
+		p := ports{front: base, ready: base + 1, control: base + 2, directory: base + 3, store: base + 4, peer: base + 5}
 		free := true
 		for i := range machines {
-			for port := base; port < base+5 && free; port++ {
+			for port := base; port < base+6 && free; port++ {
 				listener, err := net.Listen("tcp", fmt.Sprintf("%s:%d", machineIP(i), port))
 				if err != nil {
 					free = false
@@ -130,7 +133,12 @@
 			return err
 		}
 	}
-	return nil
+	if !w.proxied {
+		return nil
+	}
+	links, err := w.serveLinks()
+	w.links = links
+	return err
 }
 
 // writeSettings fills in the template of the deploy file.
@@ -153,6 +161,9 @@
 		"{{ip}}", n.ip, "{{bounds.retry_budget_ratio}}", "0.2", "{{bounds.retry_budget_slack}}", "58",
 		"{{bounds.budget_window_s}}", "10", "{{limits.memory_mb}}", "284",
 	).Replace(string(template))
+	if w.proxied {
+		text = fmt.Sprintf("peerListen = %q\n", address(w.ports.peer)) + text
+	}
 	return os.WriteFile(n.settings, []byte(text), 0o600)
 }
 
