Review case 8: count only what was sent and run within the window

Cause: the rule counts requests that are both sent and arrive in a window; the script counted arrivals alone.

--- a/review/stage/quota.go
+++ b/review/stage/quota.go
@@ -2,9 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/http"
 	"slices"
-	"sort"
 	"syscall"
 	"time"
 )
@@ -71,43 +71,46 @@
 	w.note("the cut ends")
 	time.Sleep(6 * time.Second)
 	close(stop)
-	statuses := map[int]int{}
+	statuses, sent := map[int]int{}, map[string]time.Time{}
 	for _, res := range results() {
 		statuses[res.status]++
+		sent[res.request.id] = res.sent
 	}
 	w.note("answers by status: %v", statuses)
-	return w.countQuota("t1"), nil
+	return w.countQuota(sent, "t1"), nil
 }
 
-// countQuota reports whether more requests of a tenant ran in a window than its quota allows.
-func (w *world) countQuota(tenant string) bool {
-	var times []time.Time
+// run is a request that a backend has run.
+type run struct{ sent, arrived time.Time }
+
+// countQuota reports whether more requests of a tenant were sent and ran in a window than its
+// quota allows.
+func (w *world) countQuota(sent map[string]time.Time, tenant string) bool {
+	var runs []run
 	perSecond := map[int]int{}
 	for _, a := range w.allArrivals() {
-		if a.tenant == tenant && a.executed {
-			times = append(times, a.at)
+		if at, found := sent[a.id]; found && a.tenant == tenant && a.executed {
+			runs = append(runs, run{sent: at, arrived: a.at})
 			perSecond[int(w.at(a.at))]++
 		}
 	}
-	sort.Slice(times, func(i, j int) bool { return times[i].Before(times[j]) })
-	worst, from := 0, 0
-	for first, last := 0, 0; last < len(times); last++ {
-		for times[last].Sub(times[first]) > quotaWindow {
-			first++
+	worst, from := 0, w.start
+	for _, first := range runs {
+		count := 0
+		for _, other := range runs {
+			if !other.sent.Before(first.sent) && other.arrived.Sub(first.sent) <= quotaWindow {
+				count++
+			}
 		}
-		if last-first+1 > worst {
-			worst, from = last-first+1, first
+		if count > worst {
+			worst, from = count, first.sent
 		}
 	}
-	var seconds []int
-	for second := range perSecond {
-		seconds = append(seconds, second)
-	}
-	slices.Sort(seconds)
+	seconds := slices.Sorted(maps.Keys(perSecond))
 	for _, second := range seconds {
 		w.note("second %d: %d requests ran", second, perSecond[second])
 	}
 	bound := (quotaRate*quotaWindow.Seconds()+quotaBurst)*(1+quotaOverage) + quotaSlack
-	w.note("worst window: %d requests from %.3f on, bound %.0f", worst, w.at(times[from]), bound)
+	w.note("worst window: %d requests sent and run from %.3f on, bound %.0f", worst, w.at(from), bound)
 	return float64(worst) > bound
 }
